--- /dev/null
+++ b/cmd/cwlab/main.go
@@ -0,0 +1,83 @@
+// Command cwlab runs the project's experiments over the shipped state machines.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/clementinewing/clementinewing/internal/bench/report"
+)
+
+var errMissed = errors.New("a bound was missed")
+
+func main() {
+	app := &cli.Command{
+		Name:  "cwlab",
+		Usage: "run an experiment and compare its figures with their bounds",
+	}
+	for _, e := range experiments() {
+		app.Commands = append(app.Commands, command(e))
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command(e experiment) *cli.Command {
+	return &cli.Command{
+		Name:  e.Name,
+		Usage: e.Usage,
+		Flags: []cli.Flag{
+			&cli.BoolFlag{
+				Name:  "json",
+				Usage: "print one JSON line in place of a table",
+			},
+			&cli.IntFlag{
+				Name:  "seeds",
+				Usage: "number of seeds, counted from 1",
+				Value: defaultSeeds,
+			},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			return run(e, c.Int("seeds"), c.Bool("json"))
+		},
+	}
+}
+
+func run(e experiment, seeds int, asJSON bool) (err error) {
+	result, err := e.Run(seeds)
+	if err != nil {
+		return err
+	}
+	err = show(result, asJSON)
+	if err != nil {
+		return err
+	}
+	if !result.Met() {
+		return errMissed
+	}
+	return nil
+}
+
+func show(r report.Result, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(os.Stdout).Encode(r)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "figure\tunit\tmedian\tworst\tbound\tmet\n")
+	for _, row := range r.Rows {
+		bound := "-"
+		if row.Sense != report.Info {
+			bound = fmt.Sprintf("%.4g", row.Bound)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%.4g\t%.4g\t%s\t%v\n", row.Name, row.Unit, row.Median, row.Worst, bound, row.Met())
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/cmd/cwlab/table.go
@@ -0,0 +1,18 @@
+package main
+
+import "github.com/clementinewing/clementinewing/internal/bench/report"
+
+// defaultSeeds is how many seeds each figure is taken over.
+const defaultSeeds = 20
+
+type experiment struct {
+	Name  string
+	Usage string
+	Run   func(seeds int) (report.Result, error)
+}
+
+// experiments is the table of every experiment; each has a package of its own
+// under internal/bench.
+func experiments() []experiment {
+	return []experiment{}
+}
--- /dev/null
+++ b/internal/world/link/packet.go
@@ -0,0 +1,123 @@
+package link
+
+import (
+	"encoding/binary"
+	"errors"
+)
+
+// Sizes and offsets of RFC 791 (IPv4), RFC 9293 (TCP) and RFC 768 (UDP).
+const (
+	ipv4Bytes    = 20
+	tcpBytes     = 20
+	udpBytes     = 8
+	protocolTCP  = 6
+	protocolUDP  = 17
+	flagFin      = 0x01
+	flagSyn      = 0x02
+	flagReset    = 0x04
+	flagAck      = 0x10
+	fragmentMask = 0x3fff
+)
+
+// Errors of Parse; the caller counts them by kind.
+var (
+	ErrShort    = errors.New("packet is shorter than its headers")
+	ErrVersion  = errors.New("packet is not IPv4")
+	ErrFragment = errors.New("packet is a fragment")
+	ErrProtocol = errors.New("packet is neither TCP nor UDP")
+)
+
+// Packet is what decisions need to know of one IPv4 packet. Sequence,
+// Acknowledgment and Flags are zero for UDP.
+type Packet struct {
+	Key            Key
+	Kind           Kind
+	Sequence       uint32
+	Acknowledgment uint32
+	Flags          uint8
+	// Payload is the number of bytes after the transport header.
+	Payload int
+}
+
+// HasAck tells whether the packet acknowledges bytes.
+func (p Packet) HasAck() bool {
+	return p.Flags&flagAck != 0
+}
+
+// IsReset tells whether the packet resets its flow.
+func (p Packet) IsReset() bool {
+	return p.Flags&flagReset != 0
+}
+
+// Parse reads the headers of the IPv4 packet in b. It keeps no part of b.
+func Parse(b []byte) (p Packet, err error) {
+	if len(b) < ipv4Bytes {
+		return p, ErrShort
+	}
+	if b[0]>>4 != 4 {
+		return p, ErrVersion
+	}
+	header := int(b[0]&0x0f) * 4
+	total := int(binary.BigEndian.Uint16(b[2:]))
+	if header < ipv4Bytes || total < header || total > len(b) {
+		return p, ErrShort
+	}
+	if binary.BigEndian.Uint16(b[6:])&fragmentMask != 0 {
+		return p, ErrFragment
+	}
+	p.Key.Protocol = b[9]
+	p.Key.Caller = binary.BigEndian.Uint32(b[12:])
+	p.Key.Target = binary.BigEndian.Uint32(b[16:])
+	return parseTransport(p, b[header:total])
+}
+
+func parseTransport(p Packet, b []byte) (Packet, error) {
+	switch p.Key.Protocol {
+	case protocolTCP:
+		return parseTCP(p, b)
+	case protocolUDP:
+		return parseUDP(p, b)
+	default:
+		return p, ErrProtocol
+	}
+}
+
+func parseTCP(p Packet, b []byte) (Packet, error) {
+	if len(b) < tcpBytes {
+		return p, ErrShort
+	}
+	header := int(b[12]>>4) * 4
+	if header < tcpBytes || header > len(b) {
+		return p, ErrShort
+	}
+	p.Key.CallerPort = binary.BigEndian.Uint16(b[0:])
+	p.Key.TargetPort = binary.BigEndian.Uint16(b[2:])
+	p.Sequence = binary.BigEndian.Uint32(b[4:])
+	p.Acknowledgment = binary.BigEndian.Uint32(b[8:])
+	p.Flags = b[13]
+	p.Payload = len(b) - header
+	p.Kind = kindOf(p.Flags)
+	return p, nil
+}
+
+func parseUDP(p Packet, b []byte) (Packet, error) {
+	if len(b) < udpBytes {
+		return p, ErrShort
+	}
+	p.Key.CallerPort = binary.BigEndian.Uint16(b[0:])
+	p.Key.TargetPort = binary.BigEndian.Uint16(b[2:])
+	p.Payload = len(b) - udpBytes
+	p.Kind = Opening
+	return p, nil
+}
+
+func kindOf(flags uint8) Kind {
+	switch {
+	case flags&(flagFin|flagReset) != 0:
+		return Closing
+	case flags&flagSyn != 0 && flags&flagAck == 0:
+		return Opening
+	default:
+		return Continuing
+	}
+}
--- /dev/null
+++ b/internal/world/link/packet_test.go
@@ -0,0 +1,53 @@
+package link_test
+
+import (
+	"encoding/hex"
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/clementinewing/clementinewing/internal/world/link"
+)
+
+var names = map[link.Kind]string{
+	link.Opening:    "opening",
+	link.Continuing: "continuing",
+	link.Closing:    "closing",
+}
+
+// The script has one packet a line: name, expected outcome, packet in hex.
+var _ = Describe("Parse", func() {
+	script, err := os.ReadFile("testdata/packets.txt")
+	if err != nil {
+		panic(err)
+	}
+	for line := range strings.Lines(string(script)) {
+		fields := strings.Fields(line)
+		if len(fields) != 3 || fields[0] == "#" {
+			continue
+		}
+		It(fields[0], func() {
+			raw, err := hex.DecodeString(fields[2])
+			Expect(err).NotTo(HaveOccurred())
+			p, err := link.Parse(raw)
+			if err != nil {
+				Expect(strings.ReplaceAll(err.Error(), " ", "_")).To(Equal(fields[1]))
+				return
+			}
+			Expect(names[p.Kind]).To(Equal(fields[1]))
+		})
+	}
+})
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte{0x45})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		p, err := link.Parse(b)
+		if err == nil && (p.Payload < 0 || p.Payload > len(b)) {
+			t.Fatalf("payload of %d bytes in a packet of %d", p.Payload, len(b))
+		}
+	})
+}
