--- /dev/null
+++ b/internal/flow/owner/action.go
@@ -0,0 +1,80 @@
+package owner
+
+import (
+	"net/netip"
+
+	"github.com/clementinewing/clementinewing/internal/world/link"
+)
+
+// Action is what the side process has to do about an event.
+type Action interface {
+	action()
+}
+
+// Connect opens a connection to the upstream. The packet that asked for the flow
+// is kept by the caller of Step until Accept or Refuse.
+type Connect struct {
+	Key link.Key
+}
+
+// Accept lets the stack complete the caller's handshake.
+type Accept struct {
+	Key link.Key
+}
+
+// Deliver gives the packet at hand to the stack.
+type Deliver struct {
+	Key link.Key
+}
+
+// Pass hands the packet of Key to another candidate of its message. The packet
+// is the one at hand, or the kept opening of the flow.
+type Pass struct {
+	Key      link.Key
+	Position int
+	Denied   uint16
+	Reason   Reason
+}
+
+// Refuse answers the opening of Key with a reset: its work was not run.
+type Refuse struct {
+	Key    link.Key
+	Reason Reason
+}
+
+// Reset answers the packet at hand with a reset: no endpoint owns its flow.
+type Reset struct {
+	Key    link.Key
+	Reason Reason
+}
+
+// Drop forgets the packet at hand.
+type Drop struct {
+	Reason Reason
+}
+
+// Hint tells a balancer that this endpoint owns the flow.
+type Hint struct {
+	Key      link.Key
+	Balancer netip.AddrPort
+}
+
+// Abort cuts a flow and its upstream connection.
+type Abort struct {
+	Key    link.Key
+	Reason Reason
+}
+
+// Emptied says that a drain has ended: no flow is left.
+type Emptied struct{}
+
+func (Connect) action() {}
+func (Accept) action()  {}
+func (Deliver) action() {}
+func (Pass) action()    {}
+func (Refuse) action()  {}
+func (Reset) action()   {}
+func (Drop) action()    {}
+func (Hint) action()    {}
+func (Abort) action()   {}
+func (Emptied) action() {}
