--- /dev/null
+++ b/internal/fake/fabric/fabric.go
@@ -0,0 +1,206 @@
+// Package fabric is a stand-in for the platform's fabric: it sprays each packet
+// of a caller over the balancers at random, and takes answers back to the caller
+// by destination address. Packets are IPv4 inside UDP datagrams.
+package fabric
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	packetBytes      = 2048
+	ipv4Bytes        = 20
+	sourceOffset     = 12
+	targetOffset     = 16
+	socketBytes      = 4 << 20
+	reorderDelayMost = 3 * time.Millisecond
+)
+
+// Fabric is one running stand-in.
+type Fabric struct {
+	listen    netip.AddrPort
+	callers   *net.UDPConn
+	answers   *net.UDPConn
+	mutex     sync.Mutex
+	random    *rand.Rand
+	balancers []netip.AddrPort
+	homes     sync.Map
+	loss      float64
+	double    float64
+	reorder   float64
+	Sprayed   atomic.Uint64
+	Lost      atomic.Uint64
+	Unknown   atomic.Uint64
+}
+
+// Option sets one property of a Fabric.
+type Option func(*Fabric)
+
+// WithListen sets the address for callers; answers come in on the next port. The
+// default is two free ports of 127.0.0.1.
+func WithListen(address netip.AddrPort) Option {
+	return func(f *Fabric) {
+		f.listen = address
+	}
+}
+
+// WithFaults sets the chances, from 0 to 1, that a packet is lost, doubled or
+// held back.
+func WithFaults(loss, double, reorder float64) Option {
+	return func(f *Fabric) {
+		f.loss = loss
+		f.double = double
+		f.reorder = reorder
+	}
+}
+
+// New opens the sockets of a fabric that draws from a seeded source.
+func New(seed uint64, options ...Option) (f *Fabric, err error) {
+	defer func() { err = eris.Wrap(err, "opening the fabric") }()
+	f = &Fabric{
+		listen: netip.MustParseAddrPort("127.0.0.1:0"),
+		random: rand.New(rand.NewPCG(seed, 0)),
+	}
+	for _, o := range options {
+		o(f)
+	}
+	f.callers, err = open(f.listen)
+	if err != nil {
+		return nil, err
+	}
+	second := f.listen
+	if second.Port() != 0 {
+		second = netip.AddrPortFrom(second.Addr(), second.Port()+1)
+	}
+	f.answers, err = open(second)
+	if err != nil {
+		return nil, errors.Join(err, f.callers.Close())
+	}
+	return f, nil
+}
+
+func open(address netip.AddrPort) (*net.UDPConn, error) {
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, err
+	}
+	err = errors.Join(c.SetReadBuffer(socketBytes), c.SetWriteBuffer(socketBytes))
+	return c, err
+}
+
+// CallerAddress is where callers send their packets.
+func (f *Fabric) CallerAddress() netip.AddrPort {
+	return f.callers.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// AnswerAddress is where side processes send answers.
+func (f *Fabric) AnswerAddress() netip.AddrPort {
+	return f.answers.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// SetBalancers replaces the balancers that packets are sprayed over.
+func (f *Fabric) SetBalancers(balancers ...netip.AddrPort) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.balancers = append([]netip.AddrPort(nil), balancers...)
+}
+
+// Run carries packets until ctx ends, then closes the sockets.
+func (f *Fabric) Run(ctx context.Context) {
+	var w sync.WaitGroup
+	w.Go(func() { f.carryCalls(ctx) })
+	w.Go(f.carryAnswers)
+	<-ctx.Done()
+	_ = f.callers.Close()
+	_ = f.answers.Close()
+	w.Wait()
+}
+
+func (f *Fabric) carryCalls(ctx context.Context) {
+	b := make([]byte, packetBytes)
+	for {
+		n, from, err := f.callers.ReadFromUDPAddrPort(b)
+		if err != nil {
+			return
+		}
+		if n < ipv4Bytes {
+			continue
+		}
+		f.homes.Store(binary.BigEndian.Uint32(b[sourceOffset:]), from)
+		f.spray(ctx, b[:n])
+	}
+}
+
+func (f *Fabric) spray(ctx context.Context, packet []byte) {
+	for _, d := range f.draw() {
+		f.Sprayed.Add(1)
+		if d.delay == 0 {
+			_, _ = f.callers.WriteToUDPAddrPort(packet, d.balancer)
+			continue
+		}
+		late := append([]byte(nil), packet...)
+		time.AfterFunc(d.delay, func() {
+			if ctx.Err() == nil {
+				_, _ = f.callers.WriteToUDPAddrPort(late, d.balancer)
+			}
+		})
+	}
+}
+
+type delivery struct {
+	balancer netip.AddrPort
+	delay    time.Duration
+}
+
+func (f *Fabric) draw() []delivery {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if len(f.balancers) == 0 || f.random.Float64() < f.loss {
+		f.Lost.Add(1)
+		return nil
+	}
+	out := []delivery{f.drawOne()}
+	if f.random.Float64() < f.double {
+		out = append(out, f.drawOne())
+	}
+	return out
+}
+
+func (f *Fabric) drawOne() delivery {
+	d := delivery{
+		balancer: f.balancers[f.random.IntN(len(f.balancers))],
+	}
+	if f.random.Float64() < f.reorder {
+		d.delay = time.Duration(f.random.Int64N(int64(reorderDelayMost)))
+	}
+	return d
+}
+
+func (f *Fabric) carryAnswers() {
+	b := make([]byte, packetBytes)
+	for {
+		n, err := f.answers.Read(b)
+		if err != nil {
+			return
+		}
+		if n < ipv4Bytes {
+			continue
+		}
+		home, known := f.homes.Load(binary.BigEndian.Uint32(b[targetOffset:]))
+		if !known {
+			f.Unknown.Add(1)
+			continue
+		}
+		_, _ = f.answers.WriteToUDPAddrPort(b[:n], home.(netip.AddrPort))
+	}
+}
--- /dev/null
+++ b/internal/fake/origin/origin.go
@@ -0,0 +1,176 @@
+// Package origin is a stand-in for an upstream: a small HTTP server that runs
+// requests, keeps feeds open and writes down every run.
+package origin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Paths of the stand-in. A run answers once its work is done; a feed sends a
+// line an interval until the caller leaves.
+const (
+	RunPath  = "/run"
+	FeedPath = "/feed"
+)
+
+const feedInterval = 200 * time.Millisecond
+
+// Run is one request that was run.
+type Run struct {
+	Service  string
+	Upstream string
+	ID       string
+}
+
+// Ledger counts runs by request over all upstreams that share it.
+type Ledger struct {
+	mutex sync.Mutex
+	runs  map[string][]Run
+}
+
+// Upstream is one running stand-in.
+type Upstream struct {
+	service  string
+	name     string
+	work     time.Duration
+	ledger   *Ledger
+	listener net.Listener
+	server   *http.Server
+	// Busy is the number of requests in hand, Feeds that of open feeds.
+	Busy  atomic.Int64
+	Feeds atomic.Int64
+	// Served counts the requests that were run.
+	Served atomic.Int64
+}
+
+// Option sets one property of an Upstream.
+type Option func(*Upstream)
+
+// WithWork sets how long a request takes.
+func WithWork(work time.Duration) Option {
+	return func(u *Upstream) {
+		u.work = work
+	}
+}
+
+// WithLedger shares a ledger with other upstreams.
+func WithLedger(l *Ledger) Option {
+	return func(u *Upstream) {
+		u.ledger = l
+	}
+}
+
+// NewLedger makes an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{
+		runs: map[string][]Run{},
+	}
+}
+
+// Runs gives the runs of one request.
+func (l *Ledger) Runs(id string) []Run {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return append([]Run(nil), l.runs[id]...)
+}
+
+func (l *Ledger) add(r Run) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.runs[r.ID] = append(l.runs[r.ID], r)
+}
+
+// New starts an upstream of a service at address; port 0 takes a free one.
+func New(service, name string, address netip.AddrPort, options ...Option) (u *Upstream, err error) {
+	defer func() { err = eris.Wrapf(err, "starting upstream %s", name) }()
+	u = &Upstream{
+		service: service,
+		name:    name,
+		ledger:  NewLedger(),
+	}
+	for _, o := range options {
+		o(u)
+	}
+	u.listener, err = net.Listen("tcp4", address.String())
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc(RunPath, u.run)
+	mux.HandleFunc(FeedPath, u.feed)
+	u.server = &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: time.Minute,
+	}
+	go func() {
+		_ = u.server.Serve(u.listener)
+	}()
+	return u, nil
+}
+
+// Address is where the upstream listens.
+func (u *Upstream) Address() netip.AddrPort {
+	return u.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Kill ends the upstream at once, with every connection it has.
+func (u *Upstream) Kill() {
+	_ = u.server.Close()
+}
+
+// Stop ends the upstream once its requests are answered or ctx ends.
+func (u *Upstream) Stop(ctx context.Context) error {
+	return u.server.Shutdown(ctx)
+}
+
+func (u *Upstream) run(w http.ResponseWriter, r *http.Request) {
+	u.Busy.Add(1)
+	defer u.Busy.Add(-1)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.URL.Query().Get("id")
+	u.ledger.add(Run{
+		Service:  u.service,
+		Upstream: u.name,
+		ID:       id,
+	})
+	u.Served.Add(1)
+	select {
+	case <-time.After(u.work):
+	case <-r.Context().Done():
+		return
+	}
+	fmt.Fprintf(w, "%s %s %s %d\n", u.service, u.name, id, len(body))
+}
+
+func (u *Upstream) feed(w http.ResponseWriter, r *http.Request) {
+	u.Feeds.Add(1)
+	defer u.Feeds.Add(-1)
+	control := http.NewResponseController(w)
+	ticker := time.NewTicker(feedInterval)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		_, err := fmt.Fprintf(w, "%s %s %d\n", u.service, u.name, n)
+		if err = errors.Join(err, control.Flush()); err != nil {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/role/agent/agent.go
@@ -0,0 +1,248 @@
+// Package agent is the running side process: sockets, the TCP/IP stack and the
+// upstream connections around the decisions of flow/owner.
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/clementinewing/clementinewing/internal/edge/keys"
+	"github.com/clementinewing/clementinewing/internal/edge/stack"
+	"github.com/clementinewing/clementinewing/internal/edge/wire"
+	"github.com/clementinewing/clementinewing/internal/flow/owner"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+)
+
+const (
+	shardCount    = 16
+	datagramBytes = 4096
+	socketBytes   = 4 << 20
+	tickInterval  = 50 * time.Millisecond
+)
+
+// Agent is one side process beside one upstream.
+type Agent struct {
+	listen   netip.AddrPort
+	upstream netip.AddrPort
+	fabric   netip.AddrPort
+	ring     *keys.Ring
+	logger   zerolog.Logger
+	idle     time.Duration
+	table    func(shard int) *owner.Table
+	tunnel   *net.UDPConn
+	stack    *stack.Stack
+	shards   [shardCount]*shard
+	counts   counts
+	emptied  chan struct{}
+	once     sync.Once
+	closing  sync.WaitGroup
+}
+
+// Option sets one property of an Agent.
+type Option func(*Agent)
+
+// WithListen sets the address of the tunnel socket; port 0 takes a free one.
+func WithListen(address netip.AddrPort) Option {
+	return func(a *Agent) {
+		a.listen = address
+	}
+}
+
+// WithUpstream sets where the upstream takes TCP connections.
+func WithUpstream(address netip.AddrPort) Option {
+	return func(a *Agent) {
+		a.upstream = address
+	}
+}
+
+// WithFabric sets where packets to callers go.
+func WithFabric(address netip.AddrPort) Option {
+	return func(a *Agent) {
+		a.fabric = address
+	}
+}
+
+// WithLogger sets the logger.
+func WithLogger(l zerolog.Logger) Option {
+	return func(a *Agent) {
+		a.logger = l
+	}
+}
+
+// WithKeepalive probes callers that were silent for idle.
+func WithKeepalive(idle time.Duration) Option {
+	return func(a *Agent) {
+		a.idle = idle
+	}
+}
+
+// New opens the sockets of a side process. The table function makes the flow
+// table of each shard.
+func New(ring *keys.Ring, table func(shard int) *owner.Table, options ...Option) (a *Agent, err error) {
+	defer func() { err = eris.Wrap(err, "starting the side process") }()
+	a = &Agent{
+		listen:  netip.MustParseAddrPort("127.0.0.1:0"),
+		ring:    ring,
+		logger:  zerolog.Nop(),
+		idle:    defaultKeepalive,
+		table:   table,
+		emptied: make(chan struct{}),
+	}
+	for _, o := range options {
+		o(a)
+	}
+	a.tunnel, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a.listen))
+	if err != nil {
+		return nil, err
+	}
+	err = errors.Join(a.tunnel.SetReadBuffer(socketBytes), a.tunnel.SetWriteBuffer(socketBytes))
+	if err != nil {
+		return nil, errors.Join(err, a.tunnel.Close())
+	}
+	for i := range a.shards {
+		a.shards[i] = newShard(table(i), wire.NewSealer(ring))
+	}
+	a.stack, err = stack.New(stack.WithOutput(a.output), stack.WithOpening(a.opened))
+	if err != nil {
+		return nil, errors.Join(err, a.tunnel.Close())
+	}
+	return a, nil
+}
+
+// Address is where the tunnel socket listens.
+func (a *Agent) Address() netip.AddrPort {
+	return a.tunnel.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// Run handles packets until ctx ends, then cuts what is left.
+func (a *Agent) Run(ctx context.Context) {
+	var w sync.WaitGroup
+	w.Go(a.receive)
+	w.Go(func() { a.tick(ctx) })
+	<-ctx.Done()
+	_ = a.tunnel.Close()
+	w.Wait()
+	a.stack.Close()
+	for _, s := range a.shards {
+		s.cut()
+	}
+	a.closing.Wait()
+}
+
+// Drain takes no new flows from now on and cuts the rest at the deadline.
+// Emptied tells when no flow is left.
+func (a *Agent) Drain(deadline time.Time) {
+	for _, s := range a.shards {
+		a.step(s, owner.Drain{
+			Deadline: deadline,
+		}, nil)
+	}
+}
+
+// Emptied is closed once a drain has ended.
+func (a *Agent) Emptied() <-chan struct{} {
+	return a.emptied
+}
+
+func (a *Agent) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			for _, s := range a.shards {
+				a.step(s, owner.Tick{}, nil)
+			}
+		}
+	}
+}
+
+func (a *Agent) receive() {
+	opener := wire.NewOpener(a.ring)
+	b := make([]byte, datagramBytes)
+	m := &wire.Message{}
+	for {
+		n, from, err := a.tunnel.ReadFromUDPAddrPort(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		err = opener.Open(b[:n], m)
+		if err != nil {
+			a.counts.fault(err)
+			continue
+		}
+		a.message(m, from)
+	}
+}
+
+func (a *Agent) message(m *wire.Message, from netip.AddrPort) {
+	switch m.Kind {
+	case wire.Packet:
+		a.packet(m)
+	case wire.Probe:
+		a.answer(m, from)
+	default:
+		a.counts.foreign.Add(1)
+	}
+}
+
+func (a *Agent) packet(m *wire.Message) {
+	p, err := link.Parse(m.Inner)
+	if err != nil || int(m.Position) >= len(m.Candidates) {
+		a.counts.malformed.Add(1)
+		return
+	}
+	a.step(a.shard(p.Key), owner.Arrived{
+		Packet:      p,
+		Service:     m.Service,
+		Incarnation: m.Candidates[m.Position].Incarnation,
+		Position:    int(m.Position),
+		Candidates:  len(m.Candidates),
+		Denied:      m.Denied,
+		Balancer:    m.Balancer,
+	}, m)
+}
+
+// answer returns a probe, so that the other end knows its link is alive.
+func (a *Agent) answer(m *wire.Message, from netip.AddrPort) {
+	m.Kind = wire.Answer
+	a.shards[0].send(a.tunnel, m, from)
+}
+
+func (a *Agent) shard(k link.Key) *shard {
+	return a.shards[k.Hash()%shardCount]
+}
+
+// output takes a packet from the stack to the fabric.
+func (a *Agent) output(packet []byte) {
+	p, swapped := reverse(packet)
+	if swapped && p.IsAnswer() {
+		a.step(a.shard(p.Key), owner.Answered{
+			Packet: p,
+		}, nil)
+	}
+	_, _ = a.tunnel.WriteToUDPAddrPort(packet, a.fabric)
+}
+
+// reverse parses a packet to the caller under the key of the caller's flow.
+func reverse(packet []byte) (link.Packet, bool) {
+	p, err := link.Parse(packet)
+	if err != nil {
+		return p, false
+	}
+	p.Key.Caller, p.Key.Target = p.Key.Target, p.Key.Caller
+	p.Key.CallerPort, p.Key.TargetPort = p.Key.TargetPort, p.Key.CallerPort
+	return p, true
+}
--- /dev/null
+++ b/internal/role/agent/shard.go
@@ -0,0 +1,178 @@
+package agent
+
+import (
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/edge/craft"
+	"github.com/clementinewing/clementinewing/internal/edge/wire"
+	"github.com/clementinewing/clementinewing/internal/flow/owner"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+)
+
+// shard holds a part of the flows under its own lock.
+type shard struct {
+	mutex  sync.Mutex
+	table  *owner.Table
+	flows  map[link.Key]*flow
+	sender sync.Mutex
+	sealer *wire.Sealer
+	buffer []byte
+}
+
+// flow is what the side process holds of a flow besides the decisions' state.
+type flow struct {
+	key link.Key
+	// opening is the message that asked for the flow, kept until it is answered.
+	opening  *wire.Message
+	upstream net.Conn
+	abort    func()
+	aborted  bool
+}
+
+func newShard(t *owner.Table, s *wire.Sealer) *shard {
+	return &shard{
+		table:  t,
+		flows:  map[link.Key]*flow{},
+		sealer: s,
+	}
+}
+
+// step runs one event through the decisions and carries out what they say. The
+// message is the packet at hand, if any.
+func (a *Agent) step(s *shard, e owner.Event, m *wire.Message) {
+	s.mutex.Lock()
+	actions := s.table.Step(time.Now(), e, nil)
+	for _, c := range actions {
+		if connect, ok := c.(owner.Connect); ok {
+			s.keep(connect.Key, m)
+		}
+	}
+	s.mutex.Unlock()
+	for _, c := range actions {
+		a.perform(s, c, m)
+	}
+}
+
+func (s *shard) keep(k link.Key, m *wire.Message) {
+	s.flows[k] = &flow{
+		key:     k,
+		opening: m.Clone(),
+	}
+}
+
+func (s *shard) flow(k link.Key) *flow {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.flows[k]
+}
+
+func (s *shard) forget(f *flow) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.flows[f.key] == f {
+		delete(s.flows, f.key)
+	}
+}
+
+func (a *Agent) perform(s *shard, c owner.Action, m *wire.Message) {
+	switch c := c.(type) {
+	case owner.Connect:
+		a.connect(s, c.Key)
+	case owner.Accept:
+		a.accept(s, c.Key)
+	case owner.Deliver:
+		a.stack.Inject(m.Inner)
+	case owner.Pass:
+		a.pass(s, c, m)
+	case owner.Refuse:
+		a.counts.add(c.Reason)
+		a.reset(s.forgetOpening(c.Key, m))
+	case owner.Reset:
+		a.counts.add(c.Reason)
+		a.reset(m)
+	case owner.Drop:
+		a.counts.add(c.Reason)
+	case owner.Hint:
+		a.hint(s, c, m)
+	case owner.Abort:
+		a.counts.add(c.Reason)
+		a.abort(s, c.Key)
+	case owner.Emptied:
+		a.empty()
+	}
+}
+
+// forgetOpening gives the message that an action on an opening is about: the
+// kept one, which is dropped, or else the one at hand.
+func (s *shard) forgetOpening(k link.Key, m *wire.Message) *wire.Message {
+	if m != nil {
+		return m
+	}
+	f := s.flow(k)
+	if f == nil {
+		return nil
+	}
+	s.forget(f)
+	return f.opening
+}
+
+func (a *Agent) pass(s *shard, c owner.Pass, m *wire.Message) {
+	a.counts.add(c.Reason)
+	m = s.forgetOpening(c.Key, m)
+	if m == nil || c.Position >= len(m.Candidates) {
+		return
+	}
+	m.Position = uint8(c.Position)
+	m.Denied = c.Denied
+	s.send(a.tunnel, m, m.Candidates[c.Position].Agent)
+}
+
+func (a *Agent) reset(m *wire.Message) {
+	if m == nil {
+		return
+	}
+	p, err := link.Parse(m.Inner)
+	if err != nil || p.IsReset() {
+		return
+	}
+	_, _ = a.tunnel.WriteToUDPAddrPort(craft.Reset(nil, p), a.fabric)
+}
+
+func (a *Agent) hint(s *shard, c owner.Hint, m *wire.Message) {
+	if m == nil {
+		return
+	}
+	s.send(a.tunnel, &wire.Message{
+		Kind:     wire.Hint,
+		Service:  m.Service,
+		Balancer: c.Balancer,
+		Candidates: []wire.Candidate{
+			m.Candidates[m.Position],
+		},
+		Inner: m.Inner[:min(len(m.Inner), hintBytes)],
+	}, c.Balancer)
+}
+
+func (s *shard) send(socket *net.UDPConn, m *wire.Message, to netip.AddrPort) {
+	s.sender.Lock()
+	defer s.sender.Unlock()
+	s.buffer = s.sealer.Seal(s.buffer[:0], m)
+	_, _ = socket.WriteToUDPAddrPort(s.buffer, to)
+}
+
+// cut closes every upstream connection.
+func (s *shard) cut() {
+	s.mutex.Lock()
+	flows := make([]*flow, 0, len(s.flows))
+	for _, f := range s.flows {
+		flows = append(flows, f)
+	}
+	s.mutex.Unlock()
+	for _, f := range slices.All(flows) {
+		s.abort(f)
+	}
+}
--- a/internal/world/link/packet.go
+++ b/internal/world/link/packet.go
@@ -121,3 +121,16 @@
 		return Continuing
 	}
 }
+
+// Length is the number of sequence numbers that a TCP segment takes: its payload
+// and one each for SYN and FIN.
+func (p Packet) Length() uint32 {
+	length := uint32(p.Payload)
+	if p.Flags&flagSyn != 0 {
+		length++
+	}
+	if p.Flags&flagFin != 0 {
+		length++
+	}
+	return length
+}
