wire: tag and open datagrams between the roles

Balancers and side processes need datagrams that outside bytes cannot pass for. Openers of a process share a bounded table of senders with a replay window each (RFC 6479), because several sockets of one port may get one sender's datagrams. Keys are a set by epoch, swapped atomically; no datagram is refused while they are rotated.

Ruled out: a window per Opener (a replay from another source port would reach another socket), a sequence for each destination (a table on the sending side).

--- /dev/null
+++ b/internal/edge/keys/keys_test.go
@@ -0,0 +1,77 @@
+package keys_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/clementinewing/clementinewing/internal/edge/keys"
+)
+
+const material = "AAECAwQFBgcICQoLDA0ODxAREhMUFRYXGBkaGxwdHh8"
+
+var _ = Describe("Parse", func() {
+	script, err := os.ReadFile("testdata/settings.txt")
+	if err != nil {
+		panic(err)
+	}
+	for line := range strings.Lines(string(script)) {
+		fields := strings.SplitN(strings.TrimSuffix(line, "\n"), " ; ", 3)
+		if len(fields) != 3 || strings.HasPrefix(line, "#") {
+			continue
+		}
+		It(fields[0], func() {
+			Expect(outcome(strings.ReplaceAll(fields[2], "|", "\n"))).To(Equal(fields[1]))
+		})
+	}
+
+	It("prints no key material", func() {
+		_, err := keys.Parse("f", material+" = "+material+"\n1 = "+material+material)
+		Expect(err).To(HaveOccurred())
+		Expect(err.Error()).NotTo(ContainSubstring(material))
+		s, err := keys.Parse("f", "1 = "+material)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(fmt.Sprintf("%v %+v %#v %s", s, s, s, s.Masters[0].Key)).NotTo(ContainSubstring("31"))
+	})
+})
+
+var _ = Describe("Derive", func() {
+	It("tells masters and senders apart", func() {
+		a := keys.Derive(keys.Key{1}, 1)
+		Expect(keys.Derive(keys.Key{1}, 1)).To(Equal(a))
+		Expect(keys.Derive(keys.Key{1}, 2)).NotTo(Equal(a))
+		Expect(keys.Derive(keys.Key{2}, 1)).NotTo(Equal(a))
+	})
+})
+
+func outcome(text string) string {
+	s, err := keys.Parse("f", text)
+	if err != nil {
+		return strings.ReplaceAll(err.Error(), "\n", "|")
+	}
+	var epochs []string
+	for _, e := range s.Epochs() {
+		epochs = append(epochs, fmt.Sprint(e))
+	}
+	return fmt.Sprintf("seal=%d epochs=%s", s.Seal, strings.Join(epochs, ","))
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("1 = " + material + "\nseal = 1")
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := keys.Parse("f", text)
+		if (s == nil) == (err == nil) {
+			t.Fatalf("set %v with error %v", s, err)
+		}
+		if s == nil {
+			return
+		}
+		if _, found := s.Master(s.Seal); !found {
+			t.Fatalf("seals with epoch %d, which has no key", s.Seal)
+		}
+	})
+}
--- /dev/null
+++ b/internal/edge/wire/fuzz_test.go
@@ -0,0 +1,77 @@
+package wire_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/clementinewing/clementinewing/internal/edge/keys"
+	"github.com/clementinewing/clementinewing/internal/edge/wire"
+)
+
+// FuzzOpen opens outside bytes: none of them may be accepted but the one
+// datagram that was sealed.
+func FuzzOpen(f *testing.F) {
+	ring := keys.NewRing(oneEpoch(1))
+	genuine := wire.NewSealer(ring, wire.WithSender(testSender)).Seal(nil, example())
+	f.Add(genuine)
+	f.Add([]byte{1, 1, 1})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m wire.Message
+		err := wire.NewOpener(ring).Open(b, &m)
+		if (err == nil) != bytes.Equal(b, genuine) {
+			t.Fatalf("opened %x: %v", b, err)
+		}
+		if err != nil && wire.FaultOf(err) == 0 {
+			t.Fatalf("error is no fault: %v", err)
+		}
+	})
+}
+
+// FuzzSeal seals any message of legal size and expects it back.
+func FuzzSeal(f *testing.F) {
+	ring := keys.NewRing(oneEpoch(1))
+	f.Add(uint8(1), uint8(2), uint8(1), uint16(1), []byte("packet"))
+	f.Fuzz(func(t *testing.T, kind, count, position uint8, denied uint16, inner []byte) {
+		m := example()
+		m.Kind = wire.Kind(kind)
+		m.Position = position
+		m.Denied = denied
+		m.Inner = inner
+		m.Candidates = make([]wire.Candidate, count)
+		b := wire.NewSealer(ring).Seal(nil, m)
+		if len(b) == 0 {
+			return
+		}
+		var got wire.Message
+		if err := wire.NewOpener(ring).Open(b, &got); err != nil {
+			t.Fatal(err)
+		}
+		if got.Kind != m.Kind || got.Position != position || got.Denied != denied || !bytes.Equal(got.Inner, inner) {
+			t.Fatalf("sealed %+v, opened %+v", m, got)
+		}
+	})
+}
+
+func BenchmarkSealOpen(b *testing.B) {
+	ring := keys.NewRing(oneEpoch(1))
+	sealer := wire.NewSealer(ring)
+	opener := wire.NewOpener(ring)
+	m := example()
+	m.Inner = make([]byte, 1400)
+	var got wire.Message
+	var buffer [wire.MaxBytes]byte
+	b.Run("seal", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			sealer.Seal(buffer[:0], m)
+		}
+	})
+	b.Run("both", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if err := opener.Open(sealer.Seal(buffer[:0], m), &got); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/edge/wire/wire.go
+++ b/internal/edge/wire/wire.go
@@ -1,6 +1,10 @@
 // Package wire is the datagram format between balancers and side processes: a
 // fixed header, the ranked candidates, one IPv4 packet and a keyed tag. All
-// numbers are big-endian.
+// numbers are big-endian. docs/design/0002-wire.md gives the layout.
+//
+// A Sealer belongs to one thread and writes datagrams; an Opener belongs to one
+// thread and reads them. The Openers of a process share one Senders table, so
+// that a replay is found whichever socket it arrives at.
 package wire
 
 import (
@@ -21,20 +25,50 @@
 	Hint
 	// Probe asks the other end of a link for an Answer.
 	Probe
-	// Answer returns a Probe.
+	// Answer returns a Probe: every field but the kind is the probe's.
 	Answer
 )
 
 // MaxCandidates bounds the candidates of one message.
 const MaxCandidates = 16
 
+// Sizes of a datagram in bytes.
+const (
+	HeaderBytes    = 40
+	CandidateBytes = 14
+	TagBytes       = 16
+	// MaxBytes bounds a datagram: a packet of 8,960 bytes with one candidate
+	// fits, as does one of 8,936 with every candidate.
+	MaxBytes = 9216
+)
+
+// formatVersion is the first byte of every datagram.
+const formatVersion = 1
+
+// Offsets in the header.
+const (
+	atVersion  = 0
+	atKind     = 1
+	atEpoch    = 2
+	atCount    = 3
+	atPosition = 4
+	atReserved = 5
+	atDenied   = 6
+	atSender   = 8
+	atSequence = 16
+	atService  = 24
+	atAddress  = 32
+	atLength   = 38
+)
+
 // Candidate is one endpoint that may own or take the flow.
 type Candidate struct {
 	Agent       netip.AddrPort
 	Incarnation node.Incarnation
 }
 
-// Message is one datagram between the roles.
+// Message is one datagram between the roles. Addresses are IPv4; the zero
+// AddrPort stands for none.
 type Message struct {
 	Kind    Kind
 	Service pact.ServiceID
@@ -49,3 +83,8 @@
 	// Inner is the IPv4 packet. After Open it points into the datagram.
 	Inner []byte
 }
+
+// MaxInner is the largest packet that fits beside count candidates, in bytes.
+func MaxInner(count int) int {
+	return MaxBytes - HeaderBytes - TagBytes - count*CandidateBytes
+}
