--- /dev/null
+++ b/internal/conf/lines/section.go
@@ -0,0 +1,184 @@
+package lines
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+var nameRule = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// NameAllowed says in faults what a name may be.
+const NameAllowed = "1 to 63 of a-z, 0-9 and -, with no - at either end"
+
+// AddressAllowed says in faults what an address may be.
+const AddressAllowed = "IPV4:PORT of a single host, with a port from 1 to 65535"
+
+// Section reads the values of one section and gathers what is wrong with them.
+type Section struct {
+	index   *index
+	section *ini.Section
+}
+
+// Limits are the bounds of a number; Unset is its value when the key is missing.
+type Limits struct {
+	Required bool
+	Least    uint64
+	Most     uint64
+	Unset    uint64
+}
+
+// IsName tells whether text may name an object.
+func IsName(text string) bool {
+	return nameRule.MatchString(text)
+}
+
+// Name is the heading of the section.
+func (s *Section) Name() string {
+	return s.section.Name()
+}
+
+// Line is where a key stands, or the section if the key is missing.
+func (s *Section) Line(key string) int {
+	return s.index.line(s.Name(), key)
+}
+
+// Keys gives the keys of the section in the order of the text.
+func (s *Section) Keys() []string {
+	return s.section.KeyStrings()
+}
+
+// Fault adds a fault at a key, or at the section if key is empty.
+func (s *Section) Fault(key, problem, allowed string) {
+	s.index.faults = append(s.index.faults, Fault{
+		Path:    s.index.path,
+		Line:    s.Line(key),
+		Section: s.Name(),
+		Key:     key,
+		Problem: problem,
+		Allowed: allowed,
+	})
+}
+
+// Only reports every key beside those named.
+func (s *Section) Only(keys ...string) {
+	for _, k := range s.Keys() {
+		if !slices.Contains(keys, k) {
+			s.Fault(k, "unknown key", strings.Join(keys, ", "))
+		}
+	}
+}
+
+// Text is the raw value, without the library's interpolation.
+func (s *Section) Text(key string) (value string, ok bool) {
+	if !s.section.HasKey(key) {
+		return "", false
+	}
+	return s.section.Key(key).Value(), true
+}
+
+// Required is the raw value; a missing or empty one is a fault.
+func (s *Section) Required(key, allowed string) (value string, ok bool) {
+	value, ok = s.Text(key)
+	if ok && value != "" {
+		return value, true
+	}
+	if !s.index.broken[s.Name()] {
+		s.Fault(key, "key is missing", allowed)
+	}
+	return "", false
+}
+
+// Bad reports a value that is not allowed.
+func (s *Section) Bad(key, value, allowed string) {
+	s.Fault(key, fmt.Sprintf("bad value %q", value), allowed)
+}
+
+// NameOf reads a required name.
+func (s *Section) NameOf(key string) string {
+	value, ok := s.Required(key, NameAllowed)
+	if !ok {
+		return ""
+	}
+	if !IsName(value) {
+		s.Bad(key, value, NameAllowed)
+		return ""
+	}
+	return value
+}
+
+// Number reads a whole number within limits.
+func (s *Section) Number(key string, l Limits) uint64 {
+	allowed := fmt.Sprintf("a whole number from %d to %d", l.Least, l.Most)
+	value, ok := s.Text(key)
+	if l.Required {
+		value, ok = s.Required(key, allowed)
+	}
+	if !ok {
+		return l.Unset
+	}
+	n, err := strconv.ParseUint(value, 10, 64)
+	if err != nil || n < l.Least || n > l.Most {
+		s.Bad(key, value, allowed)
+		return l.Unset
+	}
+	return n
+}
+
+// Address reads a required IPv4 address with a port.
+func (s *Section) Address(key string) netip.AddrPort {
+	value, ok := s.Required(key, AddressAllowed)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	return s.parseAddress(key, value)
+}
+
+// OptionalAddress reads an address; a missing one is the zero AddrPort.
+func (s *Section) OptionalAddress(key string) netip.AddrPort {
+	value, ok := s.Text(key)
+	if !ok || value == "" {
+		return netip.AddrPort{}
+	}
+	return s.parseAddress(key, value)
+}
+
+// Addresses reads a list of addresses parted by commas.
+func (s *Section) Addresses(key string) []netip.AddrPort {
+	value, ok := s.Text(key)
+	if !ok || value == "" {
+		return nil
+	}
+	var out []netip.AddrPort
+	for part := range strings.SplitSeq(value, ",") {
+		out = append(out, s.parseAddress(key, strings.TrimSpace(part)))
+	}
+	return out
+}
+
+func (s *Section) parseAddress(key, value string) netip.AddrPort {
+	a, err := netip.ParseAddrPort(value)
+	if err != nil || !a.Addr().Is4() || a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
+		s.Bad(key, value, AddressAllowed)
+		return netip.AddrPort{}
+	}
+	return a
+}
+
+// Choice reads one of several words; a missing key takes the first.
+func (s *Section) Choice(key string, words ...string) string {
+	value, ok := s.Text(key)
+	if !ok {
+		return words[0]
+	}
+	if !slices.Contains(words, value) {
+		s.Bad(key, value, strings.Join(words, ", "))
+		return words[0]
+	}
+	return value
+}
--- a/internal/edge/stack/conn.go
+++ b/internal/edge/stack/conn.go
@@ -24,8 +24,8 @@
 	keepaliveProbes   = 3
 )
 
-// Opening is an opening packet that waits for an answer. Exactly one of Accept
-// and Refuse must be called.
+// Opening is an opening packet that waits for an answer. Exactly one of Accept,
+// Refuse and Drop must be called.
 type Opening struct {
 	Key     link.Key
 	request *tcp.ForwarderRequest
@@ -68,6 +68,11 @@
 	o.request.Complete(true)
 }
 
+// Drop forgets the opening without an answer.
+func (o *Opening) Drop() {
+	o.request.Complete(false)
+}
+
 // Abort resets the connection.
 func (c *Conn) Abort() {
 	c.endpoint.Abort()
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -41,7 +42,8 @@
 	shards   [shardCount]*shard
 	counts   counts
 	emptied  chan struct{}
-	once     sync.Once
+	stopped  chan struct{}
+	empty    atomic.Int32
 	closing  sync.WaitGroup
 }
 
@@ -94,6 +96,7 @@
 		idle:    defaultKeepalive,
 		table:   table,
 		emptied: make(chan struct{}),
+		stopped: make(chan struct{}),
 	}
 	for _, o := range options {
 		o(a)
@@ -129,11 +132,12 @@
 	<-ctx.Done()
 	_ = a.tunnel.Close()
 	w.Wait()
-	a.stack.Close()
+	close(a.stopped)
 	for _, s := range a.shards {
-		s.cut()
+		s.cutAll()
 	}
 	a.closing.Wait()
+	a.stack.Close()
 }
 
 // Drain takes no new flows from now on and cuts the rest at the deadline.
@@ -151,6 +155,13 @@
 	return a.emptied
 }
 
+// emptyShard notes that a shard's drain has ended.
+func (a *Agent) emptyShard() {
+	if a.empty.Add(1) == shardCount {
+		close(a.emptied)
+	}
+}
+
 func (a *Agent) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/internal/role/agent/shard.go
+++ b/internal/role/agent/shard.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/edge/craft"
+	"github.com/clementinewing/clementinewing/internal/edge/stack"
 	"github.com/clementinewing/clementinewing/internal/edge/wire"
 	"github.com/clementinewing/clementinewing/internal/flow/owner"
 	"github.com/clementinewing/clementinewing/internal/world/link"
@@ -28,8 +30,8 @@
 	key link.Key
 	// opening is the message that asked for the flow, kept until it is answered.
 	opening  *wire.Message
-	upstream net.Conn
-	abort    func()
+	upstream *net.TCPConn
+	conn     *stack.Conn
 	aborted  bool
 }
 
@@ -60,10 +62,18 @@
 func (s *shard) keep(k link.Key, m *wire.Message) {
 	s.flows[k] = &flow{
 		key:     k,
-		opening: m.Clone(),
+		opening: cloneMessage(m),
 	}
 }
 
+// cloneMessage copies a message out of the datagram that it came in.
+func cloneMessage(m *wire.Message) *wire.Message {
+	c := *m
+	c.Candidates = slices.Clone(m.Candidates)
+	c.Inner = slices.Clone(m.Inner)
+	return &c
+}
+
 func (s *shard) flow(k link.Key) *flow {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -102,7 +112,7 @@
 		a.counts.add(c.Reason)
 		a.abort(s, c.Key)
 	case owner.Emptied:
-		a.empty()
+		a.emptyShard()
 	}
 }
 
@@ -164,15 +174,15 @@
 	_, _ = socket.WriteToUDPAddrPort(s.buffer, to)
 }
 
-// cut closes every upstream connection.
-func (s *shard) cut() {
-	s.mutex.Lock()
-	flows := make([]*flow, 0, len(s.flows))
-	for _, f := range s.flows {
-		flows = append(flows, f)
-	}
-	s.mutex.Unlock()
-	for _, f := range slices.All(flows) {
-		s.abort(f)
+// cutAll cuts every flow.
+func (s *shard) cutAll() {
+	for _, f := range s.all() {
+		s.cut(f)
 	}
 }
+
+func (s *shard) all() []*flow {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Collect(maps.Values(s.flows))
+}
