wire: carry how often every candidate has refused

An opening makes a second pass along its candidates, and the side process that starts it has to tell the others.

--- a/internal/edge/wire/codec.go
+++ b/internal/edge/wire/codec.go
@@ -21,7 +21,7 @@
 	if count > MaxCandidates || len(m.Inner) > MaxInner(count) {
 		return false
 	}
-	if !validFields(m.Kind, count, m.Position, m.Denied) || !encodable(m.Balancer) {
+	if m.Round > MaxRounds || !validFields(m.Kind, count, m.Position, m.Denied) || !encodable(m.Balancer) {
 		return false
 	}
 	for i := range m.Candidates {
@@ -48,7 +48,7 @@
 
 // appendMessage writes all but the tag.
 func appendMessage(out []byte, h header, m *Message) []byte {
-	out = append(out, formatVersion, byte(m.Kind), h.epoch, byte(len(m.Candidates)), m.Position, 0)
+	out = append(out, formatVersion, byte(m.Kind), h.epoch, byte(len(m.Candidates)), m.Position, m.Round)
 	out = binary.BigEndian.AppendUint16(out, m.Denied)
 	out = binary.BigEndian.AppendUint64(out, h.sender)
 	out = binary.BigEndian.AppendUint64(out, h.sequence)
@@ -84,7 +84,7 @@
 		return h, ErrVersion
 	}
 	count := int(b[atCount])
-	if count > MaxCandidates || b[atReserved] != 0 {
+	if count > MaxCandidates || b[atRound] > MaxRounds {
 		return h, ErrMalformed
 	}
 	if !validFields(Kind(b[atKind]), count, b[atPosition], binary.BigEndian.Uint16(b[atDenied:])) {
@@ -108,6 +108,7 @@
 	m.Kind = Kind(b[atKind])
 	m.Service = pact.ServiceID(binary.BigEndian.Uint64(b[atService:]))
 	m.Position = b[atPosition]
+	m.Round = b[atRound]
 	m.Denied = binary.BigEndian.Uint16(b[atDenied:])
 	m.Balancer = readAddress(b[atAddress:])
 	m.Candidates = m.Candidates[:0]
--- a/internal/edge/wire/wire.go
+++ b/internal/edge/wire/wire.go
@@ -29,6 +29,9 @@
 	Answer
 )
 
+// MaxRounds bounds how often every candidate may have refused an opening.
+const MaxRounds = 3
+
 // MaxCandidates bounds the candidates of one message.
 const MaxCandidates = 16
 
@@ -52,7 +55,7 @@
 	atEpoch    = 2
 	atCount    = 3
 	atPosition = 4
-	atReserved = 5
+	atRound    = 5
 	atDenied   = 6
 	atSender   = 8
 	atSequence = 16
@@ -77,6 +80,8 @@
 	// Denied has bit i set once candidate i has said that the flow is not its
 	// own (continuing packets) or has refused it (opening packets).
 	Denied uint16
+	// Round counts how often every candidate has refused the opening.
+	Round uint8
 	// Balancer is where hints about this flow go.
 	Balancer   netip.AddrPort
 	Candidates []Candidate
--- a/internal/edge/wire/wire_test.go
+++ b/internal/edge/wire/wire_test.go
@@ -51,6 +51,7 @@
 		Kind:     wire.Packet,
 		Service:  7,
 		Position: 1,
+		Round:    2,
 		Denied:   1,
 		Balancer: netip.MustParseAddrPort("10.0.0.1:4000"),
 		Candidates: []wire.Candidate{
