--- /dev/null
+++ b/internal/conf/roles/parse.go
@@ -0,0 +1,139 @@
+package roles
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/clementinewing/clementinewing/internal/conf/lines"
+	"github.com/clementinewing/clementinewing/internal/edge/keys"
+	"github.com/clementinewing/clementinewing/internal/world/zone"
+)
+
+// ReadBalancer reads the settings file of a balancer; the error lists every fault.
+func ReadBalancer(path string) (b Balancer, err error) {
+	defer func() { err = eris.Wrap(err, "reading the balancer's settings") }()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return b, err
+	}
+	return ParseBalancer(path, string(text))
+}
+
+// ReadAgent reads the settings file of a side process; the error lists every
+// fault.
+func ReadAgent(path string) (a Agent, err error) {
+	defer func() { err = eris.Wrap(err, "reading the side process's settings") }()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return a, err
+	}
+	return ParseAgent(path, string(text))
+}
+
+// ParseBalancer reads the settings of a balancer from text.
+func ParseBalancer(path, text string) (b Balancer, err error) {
+	d, err := lines.Load(path, text, lines.OneOf("balancer", "store", "keys", "tls", "log"))
+	if err != nil {
+		return b, err
+	}
+	s := d.Section("balancer")
+	s.Only("name", "region", "domain", "fabric", "tunnel", "control", "status", "contacts")
+	b.Fabric = s.Address("fabric")
+	err = b.read(path, d, s)
+	if err != nil {
+		return Balancer{}, err
+	}
+	return b, nil
+}
+
+// ParseAgent reads the settings of a side process from text.
+func ParseAgent(path, text string) (a Agent, err error) {
+	d, err := lines.Load(path, text, lines.OneOf("agent", "store", "keys", "tls", "log"))
+	if err != nil {
+		return a, err
+	}
+	s := d.Section("agent")
+	s.Only("name", "region", "domain", "fabric", "tunnel", "status", "contacts", "service", "upstream",
+		"slots", "connections", "weight", "drain_seconds", "keepalive_seconds")
+	a.Fabric = s.Address("fabric")
+	a.Service = s.NameOf("service")
+	a.Upstream = s.Address("upstream")
+	a.Slots = number(s, "slots", DefaultSlots, SlotsMost)
+	a.Connections = number(s, "connections", DefaultConnections, ConnectionsMost)
+	a.Weight = number(s, "weight", DefaultWeight, WeightMost)
+	a.Drain = seconds(s, "drain_seconds", DefaultDrainSeconds, DrainSecondsMost)
+	a.Keepalive = seconds(s, "keepalive_seconds", DefaultKeepaliveSeconds, KeepaliveSecondsMost)
+	err = a.read(path, d, s)
+	if err != nil {
+		return Agent{}, err
+	}
+	return a, nil
+}
+
+func number(s *lines.Section, key string, unset, most uint64) uint32 {
+	return uint32(s.Number(key, lines.Limits{
+		Least: 1,
+		Most:  most,
+		Unset: unset,
+	}))
+}
+
+func seconds(s *lines.Section, key string, unset, most uint64) time.Duration {
+	return time.Duration(number(s, key, unset, most)) * time.Second
+}
+
+// read reads what every role has and gives every fault of the document.
+func (c *Common) read(path string, d *lines.Document, s *lines.Section) error {
+	c.Name = s.NameOf("name")
+	c.Place = zone.Place{
+		Region: s.NameOf("region"),
+		Domain: s.NameOf("domain"),
+	}
+	c.Tunnel = s.Address("tunnel")
+	if s.Name() == "balancer" {
+		c.Control = s.Address("control")
+	}
+	c.Status = s.OptionalAddress("status")
+	c.Contacts = s.Addresses("contacts")
+	store := d.Optional("store")
+	store.Only("address")
+	c.Store.Address = store.OptionalAddress("address")
+	log := d.Optional("log")
+	log.Only("level")
+	c.LogLevel = log.Choice("level", "info", "debug", "warn", "error")
+	c.readTLS(d)
+	keyFaults := c.readKeys(path, d)
+	return errors.Join(d.Err(), keyFaults)
+}
+
+func (c *Common) readTLS(d *lines.Document) {
+	const allowed = "a file's path, or insecure = yes for a trial on one machine"
+	s := d.Optional("tls")
+	s.Only("certificate", "key", "authority", "insecure")
+	c.TLS.Insecure = s.Choice("insecure", "no", "yes") == "yes"
+	if c.TLS.Insecure {
+		return
+	}
+	c.TLS.Certificate, _ = s.Required("certificate", allowed)
+	c.TLS.Key, _ = s.Required("key", allowed)
+	c.TLS.Authority, _ = s.Required("authority", allowed)
+}
+
+func (c *Common) readKeys(path string, d *lines.Document) (err error) {
+	s := d.Section("keys")
+	var entries []keys.Entry
+	for _, k := range s.Keys() {
+		value, _ := s.Text(k)
+		entries = append(entries, keys.Entry{
+			Name:  k,
+			Value: value,
+			File:  path,
+			Line:  s.Line(k),
+		})
+	}
+	c.Keys, err = keys.Build(path, entries)
+	return err
+}
--- /dev/null
+++ b/internal/fake/certs/certs.go
@@ -0,0 +1,141 @@
+// Package certs is a small certificate authority in memory, for tests and trials
+// on one machine.
+package certs
+
+import (
+	"bytes"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/clementinewing/clementinewing/internal/edge/trust"
+)
+
+const (
+	validFor   = 24 * time.Hour
+	serialBits = 120
+	secretMode = 0o600
+)
+
+// Authority signs certificates.
+type Authority struct {
+	key         *ecdsa.PrivateKey
+	certificate *x509.Certificate
+	// PEM is the authority's certificate.
+	PEM []byte
+}
+
+// Pair is a certificate and its key in PEM.
+type Pair struct {
+	Certificate []byte
+	Key         []byte
+}
+
+// New makes an authority that lasts a day.
+func New() (a *Authority, err error) {
+	defer func() { err = eris.Wrap(err, "making a certificate authority") }()
+	a = &Authority{}
+	a.key, err = ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	template, err := fill("authority")
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
+	if err != nil {
+		return nil, err
+	}
+	a.certificate, err = x509.ParseCertificate(der)
+	a.PEM = encode("CERTIFICATE", der)
+	return a, err
+}
+
+// Issue makes a certificate for one role.
+func (a *Authority) Issue(name string) (p Pair, err error) {
+	defer func() { err = eris.Wrapf(err, "issuing a certificate for %s", name) }()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return p, err
+	}
+	template, err := fill(name)
+	if err != nil {
+		return p, err
+	}
+	template.DNSNames = []string{trust.Name}
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		return p, err
+	}
+	secret, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return p, err
+	}
+	return Pair{
+		Certificate: encode("CERTIFICATE", der),
+		Key:         encode("PRIVATE KEY", secret),
+	}, nil
+}
+
+// TLS gives the pair as the TLS library takes it.
+func (p Pair) TLS() (tls.Certificate, error) {
+	return tls.X509KeyPair(p.Certificate, p.Key)
+}
+
+// Write puts authority.pem, certificate.pem and key.pem into a directory.
+func (a *Authority) Write(directory string, p Pair) (f trust.Files, err error) {
+	defer func() { err = eris.Wrap(err, "writing certificates") }()
+	f = trust.Files{
+		Certificate: filepath.Join(directory, "certificate.pem"),
+		Key:         filepath.Join(directory, "key.pem"),
+		Authority:   filepath.Join(directory, "authority.pem"),
+	}
+	err = errors.Join(
+		os.WriteFile(f.Certificate, p.Certificate, secretMode),
+		os.WriteFile(f.Key, p.Key, secretMode),
+		os.WriteFile(f.Authority, a.PEM, secretMode),
+	)
+	return f, err
+}
+
+func fill(name string) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject: pkix.Name{
+			CommonName: name,
+		},
+		NotBefore: now.Add(-time.Hour),
+		NotAfter:  now.Add(validFor),
+		KeyUsage:  x509.KeyUsageDigitalSignature,
+	}, nil
+}
+
+func encode(kind string, der []byte) []byte {
+	var b bytes.Buffer
+	_ = pem.Encode(&b, &pem.Block{
+		Type:  kind,
+		Bytes: der,
+	})
+	return b.Bytes()
+}
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -222,6 +222,7 @@
 		Position:    int(m.Position),
 		Candidates:  len(m.Candidates),
 		Denied:      m.Denied,
+		Round:       m.Round,
 		Balancer:    m.Balancer,
 	}, m)
 }
@@ -239,7 +240,7 @@
 // output takes a packet from the stack to the fabric.
 func (a *Agent) output(packet []byte) {
 	p, swapped := reverse(packet)
-	if swapped && p.IsAnswer() {
+	if swapped {
 		a.step(a.shard(p.Key), owner.Answered{
 			Packet: p,
 		}, nil)
--- a/internal/role/agent/conn.go
+++ b/internal/role/agent/conn.go
@@ -23,22 +23,24 @@
 )
 
 // connect asks the upstream for a connection before the caller gets one.
-func (a *Agent) connect(s *shard, k link.Key) {
+func (a *Agent) connect(s *shard, c owner.Connect) {
 	a.closing.Go(func() {
-		c, err := a.dial()
+		upstream, err := a.dial()
 		if err != nil {
 			a.step(s, owner.Failed{
-				Key:    k,
-				Reason: owner.ReasonUpstream,
+				Key:    c.Key,
+				Serial: c.Serial,
+				Reason: owner.ConnectFailed,
 			}, nil)
 			return
 		}
-		if !s.hold(k, c) {
-			_ = c.Close()
+		if !s.hold(c, upstream) {
+			cancel(upstream)
 			return
 		}
 		a.step(s, owner.Connected{
-			Key: k,
+			Key:    c.Key,
+			Serial: c.Serial,
 		}, nil)
 	})
 }
@@ -51,14 +53,14 @@
 }
 
 // hold keeps the upstream's connection with its flow, if that is still there.
-func (s *shard) hold(k link.Key, c *net.TCPConn) bool {
+func (s *shard) hold(c owner.Connect, upstream *net.TCPConn) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	f := s.flows[k]
-	if f == nil || f.aborted || f.upstream != nil {
+	f := s.flows[c.Key]
+	if f == nil || f.serial != c.Serial || f.aborted {
 		return false
 	}
-	f.upstream = c
+	f.upstream = upstream
 	return true
 }
 
@@ -114,7 +116,8 @@
 func (a *Agent) end(s *shard, f *flow) {
 	s.forget(f)
 	a.step(s, owner.Ended{
-		Key: f.key,
+		Key:    f.key,
+		Serial: f.serial,
 	}, nil)
 }
 
@@ -179,23 +182,28 @@
 }
 
 // abort cuts one flow from both of its ends.
-func (a *Agent) abort(s *shard, k link.Key) {
-	f := s.flow(k)
-	if f == nil {
+func (a *Agent) abort(s *shard, c owner.Abort) {
+	f := s.flow(c.Key)
+	if f == nil || (c.Serial != 0 && f.serial != c.Serial) {
 		return
 	}
-	s.cut(f)
+	if s.cut(f, c.Silent) {
+		s.forget(f)
+	}
 }
 
-// cut marks a flow as given up and resets what it has of connections.
-func (s *shard) cut(f *flow) {
+// cut marks a flow as given up and resets what it has of connections. It tells
+// whether nothing else will end the flow.
+func (s *shard) cut(f *flow, silent bool) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	f.aborted = true
-	if f.conn != nil {
-		f.conn.Abort()
-	}
+	f.silent = silent
 	if f.upstream != nil {
 		cancel(f.upstream)
 	}
+	if f.conn != nil {
+		f.conn.Abort()
+	}
+	return f.conn == nil
 }
--- a/internal/role/agent/shard.go
+++ b/internal/role/agent/shard.go
@@ -27,12 +27,15 @@
 
 // flow is what the side process holds of a flow besides the decisions' state.
 type flow struct {
-	key link.Key
+	key    link.Key
+	serial uint64
 	// opening is the message that asked for the flow, kept until it is answered.
 	opening  *wire.Message
 	upstream *net.TCPConn
 	conn     *stack.Conn
 	aborted  bool
+	// silent flows send nothing more to the caller.
+	silent bool
 }
 
 func newShard(t *owner.Table, s *wire.Sealer) *shard {
@@ -50,7 +53,7 @@
 	actions := s.table.Step(time.Now(), e, nil)
 	for _, c := range actions {
 		if connect, ok := c.(owner.Connect); ok {
-			s.keep(connect.Key, m)
+			s.keep(connect, m)
 		}
 	}
 	s.mutex.Unlock()
@@ -59,9 +62,10 @@
 	}
 }
 
-func (s *shard) keep(k link.Key, m *wire.Message) {
-	s.flows[k] = &flow{
-		key:     k,
+func (s *shard) keep(c owner.Connect, m *wire.Message) {
+	s.flows[c.Key] = &flow{
+		key:     c.Key,
+		serial:  c.Serial,
 		opening: cloneMessage(m),
 	}
 }
@@ -91,7 +95,7 @@
 func (a *Agent) perform(s *shard, c owner.Action, m *wire.Message) {
 	switch c := c.(type) {
 	case owner.Connect:
-		a.connect(s, c.Key)
+		a.connect(s, c)
 	case owner.Accept:
 		a.accept(s, c.Key)
 	case owner.Deliver:
@@ -110,7 +114,7 @@
 		a.hint(s, c, m)
 	case owner.Abort:
 		a.counts.add(c.Reason)
-		a.abort(s, c.Key)
+		a.abort(s, c)
 	case owner.Emptied:
 		a.emptyShard()
 	}
@@ -138,6 +142,7 @@
 	}
 	m.Position = uint8(c.Position)
 	m.Denied = c.Denied
+	m.Round = c.Round
 	s.send(a.tunnel, m, m.Candidates[c.Position].Agent)
 }
 
@@ -177,7 +182,7 @@
 // cutAll cuts every flow.
 func (s *shard) cutAll() {
 	for _, f := range s.all() {
-		s.cut(f)
+		s.cut(f, true)
 	}
 }
 
