flow: own flows, admit before accepting, reset only when all have denied

Cause: a side process needs one decision for each packet: take it, hand it on, drop it or answer it with a reset.

Ruled out: resetting as soon as every listed candidate denied. A balancer that has not yet heard of a new endpoint leaves its flows without an owner in the list, and the reset would break a flow that lives. Ruled out: setting the Denied bit for a silent candidate: it may be alive and own the flow. Silent ones are asked last, in turn, so that a dead one does not stop the walk to a living one behind it. Ruled out: giving an open flow up for an opening with another number under its key; the stack challenges it (RFC 5961). Half open, connecting and closing flows hand such an opening on.

Change to the contract, all additive: Arrived has Round, Silent and Gone; Pass has Round; Connect, Accept, Pass, Refuse, Abort, Connected, Failed and Ended have Serial, so that the late connection of an earlier flow does not complete a later one under the same key; Abort has Silent, so that a half open flow ends without a reset that could reach the caller of another endpoint's flow.

--- a/internal/flow/owner/action.go
+++ b/internal/flow/owner/action.go
@@ -12,14 +12,17 @@
 }
 
 // Connect opens a connection to the upstream. The packet that asked for the flow
-// is kept by the caller of Step until Accept or Refuse.
+// is kept by the caller of Step until Accept, Refuse, Abort or Pass; the last three
+// give the connection up. Serial tells flows under the same key apart.
 type Connect struct {
-	Key link.Key
+	Key    link.Key
+	Serial uint64
 }
 
 // Accept lets the stack complete the caller's handshake.
 type Accept struct {
-	Key link.Key
+	Key    link.Key
+	Serial uint64
 }
 
 // Deliver gives the packet at hand to the stack.
@@ -28,17 +31,22 @@
 }
 
 // Pass hands the packet of Key to another candidate of its message. The packet
-// is the one at hand, or the kept opening of the flow.
+// is the one at hand if Serial is zero, else the kept opening of that flow.
 type Pass struct {
 	Key      link.Key
+	Serial   uint64
 	Position int
 	Denied   uint16
-	Reason   Reason
+	// Round goes into the message, see Arrived.
+	Round  uint8
+	Reason Reason
 }
 
-// Refuse answers the opening of Key with a reset: its work was not run.
+// Refuse answers the opening of Key with a reset: its work was not run. Serial is
+// zero if the opening is the packet at hand, else that of its Connect.
 type Refuse struct {
 	Key    link.Key
+	Serial uint64
 	Reason Reason
 }
 
@@ -59,9 +67,12 @@
 	Balancer netip.AddrPort
 }
 
-// Abort cuts a flow and its upstream connection.
+// Abort cuts a flow and its upstream connection. A silent one sends nothing to the
+// caller, who may be served by another endpoint under the same key.
 type Abort struct {
 	Key    link.Key
+	Serial uint64
+	Silent bool
 	Reason Reason
 }
 
--- a/internal/flow/owner/event.go
+++ b/internal/flow/owner/event.go
@@ -24,29 +24,45 @@
 	Position   int
 	Candidates int
 	// Denied has bit i set once candidate i has said that the flow is not its own.
-	Denied   uint16
+	Denied uint16
+	// Round is 0 on an opening's first way along the candidates and 1 on the
+	// second, on which each admits unless it is full.
+	Round uint8
+	// Silent has bit i set while candidate i does not answer this side process:
+	// it is asked last and its denial is never assumed.
+	Silent uint16
+	// Gone has bit i set once the named incarnation of candidate i is known to
+	// be dead: its flows died with it.
+	Gone     uint16
 	Balancer netip.AddrPort
 }
 
-// Connected says that the upstream accepted the connection for a flow.
+// Connected says that the upstream accepted the connection for a flow. Serial is
+// that of the Connect; zero means the flow now held under the key.
 type Connected struct {
-	Key link.Key
+	Key    link.Key
+	Serial uint64
 }
 
 // Failed says that the upstream did not accept the connection for a flow.
 type Failed struct {
 	Key    link.Key
+	Serial uint64
 	Reason Reason
 }
 
-// Answered is a TCP segment from this endpoint's own stack to the caller.
+// Answered is a packet from this endpoint's own stack to the caller. It has to be
+// stepped before the packet leaves: a flow takes only packets that acknowledge
+// what it has sent.
 type Answered struct {
 	Packet link.Packet
 }
 
-// Ended says that the stack and the upstream are done with a flow.
+// Ended says that the stack and the upstream are done with a flow, also when the
+// caller has not answered keepalives. Serial is as in Connected.
 type Ended struct {
-	Key link.Key
+	Key    link.Key
+	Serial uint64
 }
 
 // Drain asks for a graceful stop: no new flows, and the rest cut at Deadline.
