--- /dev/null
+++ b/internal/board/file/fault.go
@@ -0,0 +1,58 @@
+package file
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Fault is one thing wrong with a file.
+type Fault struct {
+	Path    string `json:"path"`
+	Line    int    `json:"line"`
+	Section string `json:"section"`
+	Key     string `json:"key"`
+	Problem string `json:"problem"`
+	Allowed string `json:"allowed"`
+}
+
+// Faults is the error of Parse: everything wrong with a file, by line.
+type Faults []Fault
+
+// Error gives one fault as "path:line: [section] key: problem; allowed: ...".
+func (f Fault) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s:%d: ", f.Path, f.Line)
+	if f.Section != "" {
+		fmt.Fprintf(&b, "[%s] ", f.Section)
+	}
+	if f.Key != "" {
+		fmt.Fprintf(&b, "%s: ", f.Key)
+	}
+	b.WriteString(f.Problem)
+	if f.Allowed != "" {
+		fmt.Fprintf(&b, "; allowed: %s", f.Allowed)
+	}
+	return b.String()
+}
+
+// Error gives one fault a line.
+func (f Faults) Error() string {
+	lines := make([]string, 0, len(f))
+	for _, one := range f {
+		lines = append(lines, one.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// orNil sorts the faults by line and gives nil when there is none.
+func (f Faults) orNil() error {
+	if len(f) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(f, func(a, b Fault) int {
+		return cmp.Compare(a.Line, b.Line)
+	})
+	return f
+}
