--- /dev/null
+++ b/internal/flow/admit/suite_test.go
@@ -0,0 +1,13 @@
+package admit_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestAdmit(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "admit")
+}
--- /dev/null
+++ b/internal/flow/admit/work_test.go
@@ -0,0 +1,48 @@
+package admit_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/clementinewing/clementinewing/internal/flow/admit"
+)
+
+var _ = Describe("Work", func() {
+	start := time.Unix(0, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+	It("holds a slot from the opening to the end of the answer", func() {
+		w := admit.Open(at(0))
+		Expect(w.Holding()).To(BeTrue())
+		Expect(w.Step(at(1), admit.CallerBytes{})).To(Equal(admit.Unchanged))
+		Expect(w.Step(at(9), admit.UpstreamBytes{})).To(Equal(admit.Answered))
+		Expect(w.Step(at(40), admit.UpstreamBytes{})).To(Equal(admit.Unchanged))
+		Expect(w.Step(at(60), admit.Quiet{})).To(Equal(admit.Unchanged))
+		Expect(w.Step(at(90), admit.Quiet{})).To(Equal(admit.Ended))
+		Expect(w.Step(at(91), admit.Closed{})).To(Equal(admit.LeftIdle))
+	})
+
+	It("counts no slot for what the upstream sends unasked", func() {
+		w := admit.Open(at(0))
+		Expect(w.Step(at(1000), admit.Quiet{})).To(Equal(admit.Ended))
+		Expect(w.Step(at(2000), admit.UpstreamBytes{})).To(Equal(admit.Unchanged))
+		Expect(w.Holding()).To(BeFalse())
+		Expect(w.Step(at(3000), admit.CallerBytes{})).To(Equal(admit.Began))
+		Expect(w.Step(at(3001), admit.Closed{})).To(Equal(admit.Left))
+		Expect(w.Step(at(3002), admit.CallerBytes{})).To(Equal(admit.Unchanged))
+	})
+
+	It("lets a feed that is never answered give its slot back", func() {
+		w := admit.Open(at(0))
+		w.Step(at(5), admit.CallerBytes{})
+		Expect(w.Step(w.QuietAt, admit.Quiet{})).To(Equal(admit.Ended))
+	})
+
+	It("asks for no second end of the same work", func() {
+		w := admit.Open(at(0))
+		Expect(w.Step(at(1000), admit.Quiet{})).To(Equal(admit.Ended))
+		Expect(w.Step(at(2000), admit.Quiet{})).To(Equal(admit.Unchanged))
+	})
+})
