--- a/internal/conf/roles/parse.go
+++ b/internal/conf/roles/parse.go
@@ -104,8 +104,8 @@
 	log := d.Optional("log")
 	log.Only("level")
 	c.LogLevel = log.Choice("level", "info", "debug", "warn", "error")
-	c.readTLS(d)
 	keyFaults := c.readKeys(path, d)
+	c.readTLS(d)
 	return errors.Join(d.Err(), keyFaults)
 }
 
