--- a/internal/role/agent/conn.go
+++ b/internal/role/agent/conn.go
@@ -38,10 +38,7 @@
 			cancel(upstream)
 			return
 		}
-		a.step(s, owner.Connected{
-			Key:    c.Key,
-			Serial: c.Serial,
-		}, nil)
+		a.step(s, owner.Connected(c), nil)
 	})
 }
 
