flow: ask the shipped gate, keep openings that wait for a slot

Cause: the owner counted flows itself; admission has its own decision now.

An answer to hold keeps the opening (new action Keep) until a slot is free, its deadline has passed or a drain begins. Each flow counts its own work in hand from the packets that pass, so an adapter need not. The gate's position is counted along the way an opening took: a walk that does not begin at the first candidate would otherwise never earn retry budget and hand-overs would end.

Ended flows stand in a queue of their own, so that a tick looks at live ones only.

--- a/internal/flow/owner/action.go
+++ b/internal/flow/owner/action.go
@@ -19,6 +19,13 @@
 	Serial uint64
 }
 
+// Keep says that the packet at hand, an opening, waits for a slot and is kept as
+// for Connect. Connect, Pass, Refuse or Abort with the same Serial follows.
+type Keep struct {
+	Key    link.Key
+	Serial uint64
+}
+
 // Accept lets the stack complete the caller's handshake.
 type Accept struct {
 	Key    link.Key
@@ -80,6 +87,7 @@
 type Emptied struct{}
 
 func (Connect) action() {}
+func (Keep) action()    {}
 func (Accept) action()  {}
 func (Deliver) action() {}
 func (Pass) action()    {}
--- a/internal/flow/owner/admit.go
+++ b/internal/flow/owner/admit.go
@@ -1,8 +1,10 @@
 package owner
 
 import (
+	"math/bits"
 	"time"
 
+	"github.com/clementinewing/clementinewing/internal/flow/admit"
 	"github.com/clementinewing/clementinewing/internal/world/link"
 )
 
@@ -26,7 +28,7 @@
 // again handles another copy of the opening of a flow held here.
 func (t *Table) again(f *flow, out []Action) []Action {
 	switch f.state {
-	case connecting:
+	case waiting, connecting:
 		return t.drop(Repeated, out)
 	case lingering:
 		return t.drop(Late, out)
@@ -44,7 +46,7 @@
 	case open:
 		return append(out, f.deliver)
 	case lingering:
-		t.forget(f)
+		t.replace(f)
 		return t.ask(now, e, out)
 	default:
 		return t.occupied(e, out)
@@ -61,9 +63,10 @@
 
 // datagram handles a packet of a datagram flow held here.
 func (t *Table) datagram(now time.Time, e *Arrived, f *flow, out []Action) []Action {
-	if f.state == connecting {
+	if f.state <= connecting {
 		return t.drop(Repeated, out)
 	}
+	t.heard(now, f, &e.Packet)
 	f.deadline = now.Add(t.idle)
 	return t.deliver(now, e, f, out)
 }
@@ -71,17 +74,47 @@
 // ask offers an opening to the gate.
 func (t *Table) ask(now time.Time, e *Arrived, out []Action) []Action {
 	w := walkOf(e)
+	key := e.Packet.Key
 	if t.leaving.draining {
-		return t.handOn(w, e.Packet.Key, Draining, out)
+		return t.handOn(w, key, Draining, out)
 	}
-	last := w.round >= lastRound || w.rest()&^w.silent == 0
-	if why := t.gate.Admit(now, last); why != None {
-		return t.handOn(w, e.Packet.Key, why, out)
+	deadline := now.Add(t.opening)
+	answer := t.gate.Ask(now, w.ask(deadline, false))
+	switch answer.Next {
+	case admit.Taken:
+		f := t.add(e, connecting)
+		f.deadline = deadline
+		return t.take(now, f, out)
+	case admit.Hold:
+		f := t.add(e, waiting)
+		f.deadline = deadline
+		return t.wait(f, append(out, Keep{
+			Key:    f.key,
+			Serial: f.serial,
+		}))
+	case admit.HandOn:
+		return t.handOn(w, key, admitReasons[answer.Reason], out)
+	default:
+		return t.refuse(w, key, admitReasons[answer.Reason], out)
 	}
-	delete(t.orphans.seen, e.Packet.Key)
-	f := t.add(e.Packet.Key, e.Packet.Sequence)
-	f.walk = w
-	f.deadline = now.Add(t.opening)
+}
+
+// ask is the question to the gate about an opening. The position is counted along
+// the way that the opening took, wherever in the list that began.
+func (w walk) ask(deadline time.Time, held bool) admit.Ask {
+	return admit.Ask{
+		Position:   bits.OnesCount16(w.denied),
+		Candidates: int(w.candidates),
+		Pass:       int(w.round),
+		Last:       !w.goesOn(),
+		Held:       held,
+		Deadline:   deadline,
+	}
+}
+
+func (t *Table) take(now time.Time, f *flow, out []Action) []Action {
+	t.gate.Take(now)
+	f.work = admit.Open(now)
 	t.counts.Taken++
 	return append(out, Connect{
 		Key:    f.key,
@@ -89,18 +122,66 @@
 	})
 }
 
+func (t *Table) wait(f *flow, out []Action) []Action {
+	t.gate.Wait(admit.Waiter{
+		Key:   f.key,
+		Until: f.deadline,
+	})
+	return out
+}
+
+// ready asks again for the openings that wait, once there may be a slot.
+func (t *Table) ready(now time.Time, out []Action) []Action {
+	for {
+		w, ok := t.gate.Ready(now)
+		if !ok {
+			return out
+		}
+		f := t.flows[w.Key]
+		if f == nil || f.state != waiting {
+			continue
+		}
+		out = t.askAgain(now, f, out)
+	}
+}
+
+func (t *Table) askAgain(now time.Time, f *flow, out []Action) []Action {
+	if t.leaving.draining {
+		t.forget(f)
+		return t.handOn(f.walk, f.key, Draining, out)
+	}
+	answer := t.gate.Ask(now, f.walk.ask(f.deadline, true))
+	why := admitReasons[answer.Reason]
+	switch answer.Next {
+	case admit.Taken:
+		t.move(f, connecting)
+		return t.take(now, f, out)
+	case admit.Hold:
+		return t.wait(f, out)
+	case admit.HandOn:
+		t.forget(f)
+		return t.handOn(f.walk, f.key, why, out)
+	default:
+		t.forget(f)
+		return t.refuse(f.walk, f.key, why, out)
+	}
+}
+
 // handOn gives an opening to the next candidate that has not refused it. Once
 // all have, those that were merely busy are asked again; then it is refused.
 func (t *Table) handOn(w walk, key link.Key, why Reason, out []Action) []Action {
 	if heard := w.rest() &^ w.silent; heard != 0 {
 		return t.pass(w, key, w.next(heard), why, out)
 	}
-	others := w.all() &^ (w.gone | w.silent | w.own())
-	if w.round < lastRound && others != 0 {
+	if others := w.others(); w.round < lastRound && others != 0 {
 		w.round++
 		w.denied = 0
 		return t.pass(w, key, w.next(others), why, out)
 	}
+	return t.refuse(w, key, why, out)
+}
+
+func (t *Table) refuse(w walk, key link.Key, why Reason, out []Action) []Action {
 	t.counts.Reasons[why]++
 	return append(out, Refuse{
 		Key:    key,
@@ -148,27 +229,32 @@
 	if why == None {
 		why = ConnectFailed
 	}
-	w := f.walk
-	w.serial = f.serial
-	t.gate.Release(now)
+	t.release(now, f, result(why))
 	t.forget(f)
-	return t.emptied(t.handOn(w, e.Key, why, out))
+	return t.emptied(t.ready(now, t.handOn(f.walk, e.Key, why, out)))
 }
 
 // expire refuses the kept opening of a flow past its deadline.
 func (t *Table) expire(now time.Time, f *flow, out []Action) []Action {
 	t.counts.Reasons[Expired]++
-	t.gate.Release(now)
+	t.release(now, f, admit.UpstreamTimeout)
 	t.forget(f)
 	out = append(out, Refuse{
 		Key:    f.key,
 		Serial: f.serial,
 		Reason: Expired,
 	})
-	return t.emptied(out)
+	return t.emptied(t.ready(now, out))
 }
 
 // is tells whether an event with the given serial number means this flow.
 func (f *flow) is(serial uint64) bool {
 	return serial == 0 || serial == f.serial
 }
+
+func result(why Reason) admit.Result {
+	if why == Expired {
+		return admit.UpstreamTimeout
+	}
+	return admit.UpstreamRefused
+}
--- a/internal/flow/owner/arrive.go
+++ b/internal/flow/owner/arrive.go
@@ -38,7 +38,7 @@
 	if f == nil {
 		return t.deny(now, e, NotMine, out)
 	}
-	if f.state == connecting && p.IsReset() && p.Sequence-f.initial <= 1 {
+	if f.state <= connecting && p.IsReset() && p.Sequence-f.initial <= 1 {
 		return t.abort(now, f, Cancelled, out)
 	}
 	if !f.fits(p) {
@@ -48,6 +48,7 @@
 		return t.late(f, p, out)
 	}
 	f.saw(p)
+	t.heard(now, f, p)
 	t.advance(f, p)
 	return t.deliver(now, e, f, out)
 }
@@ -58,7 +59,7 @@
 		t.move(f, open)
 		f.deadline = time.Time{}
 	}
-	if f.state == open && p.Kind == link.Closing {
+	if f.state == open && p.Flags&flagFin != 0 {
 		t.move(f, closing)
 	}
 }
--- a/internal/flow/owner/flow.go
+++ b/internal/flow/owner/flow.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/clementinewing/clementinewing/internal/flow/admit"
 	"github.com/clementinewing/clementinewing/internal/world/link"
 	"github.com/clementinewing/clementinewing/internal/world/pact"
 )
@@ -12,8 +13,10 @@
 type state uint8
 
 const (
+	// waiting: the opening is kept until a slot is free.
+	waiting state = iota
 	// connecting: the opening is kept, the upstream was asked.
-	connecting state = iota
+	connecting
 	// half open: the handshake with the caller is under way.
 	half
 	// open: the caller has completed the handshake.
@@ -54,13 +57,20 @@
 	// aborted marks a lingering flow that did not end by itself.
 	aborted bool
 
-	// walk is the rest of the kept opening's way, while connecting.
+	// walk is the rest of the kept opening's way, until the flow is accepted.
 	walk walk
+	// work tells whether the flow holds a slot.
+	work admit.Work
 
 	hinted    uint64
 	hintAfter time.Time
 }
 
+// isAccepted tells whether the stack knows a flow in this state.
+func (s state) isAccepted() bool {
+	return s == half || s == open || s == closing
+}
+
 func (f *flow) isDatagram() bool {
 	return f.key.Protocol == uint8(pact.UDP)
 }
@@ -170,56 +180,3 @@
 	}
 	return sum
 }
-
-// add starts to hold a flow in the state connecting.
-func (t *Table) add(key link.Key, initial uint32) *flow {
-	t.serial++
-	f := &flow{
-		key:    key,
-		state:  connecting,
-		index:  len(t.order),
-		serial: t.serial,
-		deliver: Deliver{
-			Key: key,
-		},
-		initial: initial,
-	}
-	t.flows[key] = f
-	t.order = append(t.order, f)
-	t.held[connecting]++
-	return f
-}
-
-func (t *Table) move(f *flow, s state) {
-	t.held[f.state]--
-	f.state = s
-	t.held[s]++
-}
-
-// forget stops to hold a flow.
-func (t *Table) forget(f *flow) {
-	last := t.order[len(t.order)-1]
-	last.index = f.index
-	t.order[f.index] = last
-	t.order[len(t.order)-1] = nil
-	t.order = t.order[:len(t.order)-1]
-	t.held[f.state]--
-	delete(t.flows, f.key)
-}
-
-// retire gives the room of a flow back and remembers its end.
-func (t *Table) retire(now time.Time, f *flow, aborted bool) {
-	t.gate.Release(now)
-	if !f.answered || f.isDatagram() || t.held[lingering] >= t.lingerMax {
-		t.forget(f)
-		return
-	}
-	t.move(f, lingering)
-	f.aborted = aborted
-	f.deadline = now.Add(t.linger)
-}
-
-// live counts the flows that a drain waits for.
-func (t *Table) live() int {
-	return len(t.order) - t.held[lingering]
-}
--- a/internal/flow/owner/leave.go
+++ b/internal/flow/owner/leave.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/clementinewing/clementinewing/internal/flow/admit"
 	"github.com/clementinewing/clementinewing/internal/world/link"
 )
 
@@ -13,14 +14,17 @@
 	deadline time.Time
 }
 
-func (l *leaving) begin(deadline time.Time) {
-	l.draining = true
-	l.deadline = deadline
+// drain starts a graceful stop, or moves its deadline.
+func (t *Table) drain(now, deadline time.Time, out []Action) []Action {
+	t.leaving.draining = true
+	t.leaving.deadline = deadline
+	t.gate.Drain(now, deadline)
+	return t.emptied(t.ready(now, out))
 }
 
 // emptied says once that a drain has ended.
 func (t *Table) emptied(out []Action) []Action {
-	if !t.leaving.draining || t.leaving.emptied || t.live() > 0 {
+	if !t.leaving.draining || t.leaving.emptied || len(t.order) > 0 {
 		return out
 	}
 	t.leaving.emptied = true
@@ -28,29 +32,33 @@
 }
 
 // answered keeps the numbers of what the stack says to the caller.
-func (t *Table) answered(now time.Time, p link.Packet) {
+func (t *Table) answered(now time.Time, p *link.Packet) {
 	f := t.flows[p.Key]
-	if f == nil || f.state == connecting || f.state == lingering {
+	if f == nil || !f.state.isAccepted() {
 		return
 	}
+	if p.Payload > 0 {
+		t.work(now, f, admit.UpstreamBytes{})
+	}
 	if f.isDatagram() {
 		f.deadline = now.Add(t.idle)
 		return
 	}
-	f.said(&p)
-	if f.state == open && p.Kind == link.Closing {
+	f.said(p)
+	if f.state == open && p.Flags&flagFin != 0 {
 		t.move(f, closing)
 	}
 }
 
-// ended lets go of a flow that the stack is done with.
-func (t *Table) ended(now time.Time, e Ended, out []Action) []Action {
+// finished lets go of a flow that the stack is done with.
+func (t *Table) finished(now time.Time, e Ended, out []Action) []Action {
 	f := t.flows[e.Key]
 	if f == nil || f.state == lingering || !f.is(e.Serial) {
 		return out
 	}
+	t.release(now, f, admit.Served)
 	t.retire(now, f, false)
-	return t.emptied(out)
+	return t.emptied(t.ready(now, out))
 }
 
 // abort cuts a flow. A caller that has not completed the handshake may be served
@@ -60,33 +68,47 @@
 	out = append(out, Abort{
 		Key:    f.key,
 		Serial: f.serial,
-		Silent: f.state == connecting || f.state == half || f.isDatagram(),
+		Silent: f.state <= half || f.isDatagram(),
 		Reason: why,
 	})
+	t.release(now, f, aborted(f))
 	t.retire(now, f, true)
-	return t.emptied(out)
+	return t.emptied(t.ready(now, out))
+}
+
+func aborted(f *flow) admit.Result {
+	if f.state <= half {
+		return admit.Abandoned
+	}
+	return admit.Served
 }
 
-// tick lets deadlines lapse. It goes backwards because a flow that is forgotten
-// is replaced by the last one.
+// tick lets deadlines lapse. It goes backwards because a flow that is removed is
+// replaced by the last one.
 func (t *Table) tick(now time.Time, out []Action) []Action {
 	cut := t.leaving.draining && !now.Before(t.leaving.deadline)
 	for i := len(t.order) - 1; i >= 0; i-- {
+		if i >= len(t.order) {
+			continue
+		}
 		f := t.order[i]
 		switch {
-		case cut && f.state != lingering:
+		case cut:
 			out = t.cut(now, f, out)
 		case !f.deadline.IsZero() && !now.Before(f.deadline):
 			out = t.lapse(now, f, out)
+		case f.state.isAccepted() && !f.work.QuietAt.IsZero():
+			t.work(now, f, admit.Quiet{})
 		}
 	}
+	t.forgetEnded(now)
 	t.orphans.expire(now)
-	return out
+	return t.ready(now, out)
 }
 
 // cut ends a flow at the deadline of a drain.
 func (t *Table) cut(now time.Time, f *flow, out []Action) []Action {
-	if f.state == connecting {
+	if f.state <= connecting {
 		return t.expire(now, f, out)
 	}
 	return t.abort(now, f, DrainDeadline, out)
@@ -95,13 +117,10 @@
 // lapse ends the state of a flow at its deadline.
 func (t *Table) lapse(now time.Time, f *flow, out []Action) []Action {
 	switch f.state {
-	case connecting:
+	case waiting, connecting:
 		return t.expire(now, f, out)
 	case half:
 		return t.abort(now, f, HandshakeExpired, out)
-	case lingering:
-		t.forget(f)
-		return out
 	default:
 		return t.abort(now, f, IdleExpired, out)
 	}
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"github.com/clementinewing/clementinewing/internal/flow/admit"
 	"github.com/clementinewing/clementinewing/internal/world/link"
 	"github.com/clementinewing/clementinewing/internal/world/node"
 	"github.com/clementinewing/clementinewing/internal/world/pact"
@@ -22,17 +23,22 @@
 	defaultGrace     = 5 * time.Second
 	defaultLingering = 65536
 	defaultOrphans   = 4096
+	defaultFlows     = 2000
 	hintPause        = time.Second
 )
 
-// Gate admits flows by the load of the upstream. A flow admitted is released
-// exactly once.
+// Gate admits flows by the load of the upstream; *admit.Gate is one.
 type Gate interface {
-	// Admit takes room for one flow, or says why not. Last tells that no other
-	// candidate is left that has not refused.
-	Admit(now time.Time, last bool) Reason
-	// Release gives the room of one flow back.
-	Release(now time.Time)
+	Ask(now time.Time, a admit.Ask) admit.Answer
+	Take(now time.Time)
+	Wait(w admit.Waiter)
+	Ready(now time.Time) (w admit.Waiter, ok bool)
+	Forget(key link.Key) bool
+	Busy(now time.Time)
+	Idle(now time.Time)
+	Answered(now, asked time.Time)
+	Release(now time.Time, o admit.Outcome)
+	Drain(now, deadline time.Time)
 }
 
 // Table holds the flows of one side process, or of one shard of it.
@@ -48,6 +54,7 @@
 
 	flows   map[link.Key]*flow
 	order   []*flow
+	ended   []*flow
 	held    [states]int
 	serial  uint64
 	turn    int
@@ -68,7 +75,8 @@
 	}
 }
 
-// WithGate sets who admits new flows. Without one, all are admitted.
+// WithGate sets who admits new flows. Without one, all that the defaults allow
+// are admitted.
 func WithGate(g Gate) Option {
 	return func(t *Table) {
 		t.gate = g
@@ -112,7 +120,10 @@
 // New makes an empty Table.
 func New(options ...Option) *Table {
 	t := &Table{
-		gate:      always{},
+		gate: admit.New(admit.Limits{
+			Slots:       defaultFlows,
+			Connections: defaultFlows,
+		}),
 		opening:   defaultOpening,
 		handshake: defaultHandshake,
 		linger:    defaultLinger,
@@ -140,13 +151,12 @@
 	case Failed:
 		return t.failed(now, e, out)
 	case Answered:
-		t.answered(now, e.Packet)
+		t.answered(now, &e.Packet)
 		return out
 	case Ended:
-		return t.ended(now, e, out)
+		return t.finished(now, e, out)
 	case Drain:
-		t.leaving.begin(e.Deadline)
-		return t.emptied(out)
+		return t.drain(now, e.Deadline, out)
 	case Tick:
 		return t.tick(now, out)
 	default:
@@ -157,6 +167,7 @@
 // Counts gives a snapshot.
 func (t *Table) Counts() Counts {
 	c := t.counts
+	c.Waiting = t.held[waiting]
 	c.Connecting = t.held[connecting]
 	c.Half = t.held[half]
 	c.Open = t.held[open] + t.held[closing]
@@ -167,7 +178,7 @@
 // Holds tells whether the stack may be given packets of the flow.
 func (t *Table) Holds(key link.Key) bool {
 	f := t.flows[key]
-	return f != nil && f.state != connecting && f.state != lingering
+	return f != nil && f.state.isAccepted()
 }
 
 func (t *Table) drop(r Reason, out []Action) []Action {
@@ -184,8 +195,3 @@
 	}
 	return all
 }()
-
-type always struct{}
-
-func (always) Admit(time.Time, bool) Reason { return None }
-func (always) Release(time.Time)            {}
--- a/internal/flow/owner/reason.go
+++ b/internal/flow/owner/reason.go
@@ -1,6 +1,10 @@
 package owner
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/clementinewing/clementinewing/internal/flow/admit"
+)
 
 // Reason says why a packet was refused, handed on or dropped; each has a counter.
 type Reason uint8
@@ -12,8 +16,14 @@
 	SlotsFull
 	// ConnectionsFull refuses an opening: the upstream holds all its connections.
 	ConnectionsFull
-	// Busy hands an opening on: other candidates may have more room.
-	Busy
+	// Threshold hands an opening on: other candidates may have more room.
+	Threshold
+	// ColdStart refuses an opening: the upstream's ramp leaves no slot free.
+	ColdStart
+	// Shedding refuses an opening: the adaptive limit leaves no slot free.
+	Shedding
+	// RetryBudget refuses an opening: too many were handed on lately.
+	RetryBudget
 	// Draining hands an opening on: this endpoint takes no new flows.
 	Draining
 	// ConnectFailed hands an opening on: the upstream took no connection.
@@ -62,7 +72,10 @@
 	None:             "none",
 	SlotsFull:        "slots_full",
 	ConnectionsFull:  "connections_full",
-	Busy:             "busy",
+	Threshold:        "threshold",
+	ColdStart:        "cold_start",
+	Shedding:         "shedding",
+	RetryBudget:      "retry_budget",
 	Draining:         "draining",
 	ConnectFailed:    "connect_failed",
 	Expired:          "expired",
@@ -93,6 +106,18 @@
 	return reasonNames[r]
 }
 
+// admitReasons gives the gate's reasons their names here.
+var admitReasons = map[admit.Reason]Reason{
+	admit.SlotsFull:       SlotsFull,
+	admit.ConnectionsFull: ConnectionsFull,
+	admit.Threshold:       Threshold,
+	admit.ColdStart:       ColdStart,
+	admit.Shedding:        Shedding,
+	admit.Draining:        Draining,
+	admit.RetryBudget:     RetryBudget,
+	admit.DeadlinePassed:  Expired,
+}
+
 // Reasons lists every reason but None.
 func Reasons() []Reason {
 	out := make([]Reason, 0, reasons-1)
@@ -104,7 +129,8 @@
 
 // Counts is a snapshot of what a Table holds and what it has done.
 type Counts struct {
-	// Connecting, Half, Open and Lingering are flows held now.
+	// Waiting, Connecting, Half, Open and Lingering are flows held now.
+	Waiting    int
 	Connecting int
 	Half       int
 	Open       int
--- a/internal/flow/owner/script_test.go
+++ b/internal/flow/owner/script_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/clementinewing/clementinewing/internal/flow/admit"
 	"github.com/clementinewing/clementinewing/internal/flow/owner"
 	"github.com/clementinewing/clementinewing/internal/world/link"
 )
@@ -43,26 +44,33 @@
 	life    = 70
 )
 
+// scripted answers as the script says, for as long as it says something.
 type scripted struct {
-	answer owner.Reason
-	held   int
+	*admit.Gate
+	say string
 }
 
-func (s *scripted) Admit(_ time.Time, last bool) owner.Reason {
-	if s.answer == owner.Busy && last {
-		s.held++
-		return owner.None
-	}
-	if s.answer == owner.None {
-		s.held++
+func (s *scripted) Ask(now time.Time, a admit.Ask) admit.Answer {
+	answer := s.Gate.Ask(now, a)
+	for _, r := range admit.Reasons() {
+		if s.say == r.String() && r != admit.Accepted && (r != admit.Threshold || a.Pass == 0 && a.Position < a.Candidates-1) {
+			answer.Reason = r
+			answer.Next = admit.HandOn
+			if a.Last {
+				answer.Next = admit.Refuse
+			}
+		}
 	}
-	return s.answer
+	return answer
 }
 
-func (s *scripted) Release(time.Time) { s.held-- }
-
 func play(body string) {
-	gate := &scripted{}
+	gate := &scripted{
+		Gate: admit.New(admit.Limits{
+			Slots:       2,
+			Connections: 9,
+		}),
+	}
 	t := owner.New(
 		owner.WithIdentity(service, life),
 		owner.WithGate(gate),
@@ -78,10 +86,14 @@
 		args := parse(fields[2:])
 		switch fields[1] {
 		case "gate":
-			gate.answer = reason(args["say"])
+			gate.say = args["say"]
+			gate.SetLimits(admit.Limits{
+				Slots:       max(2, number(args["slots"])),
+				Connections: 9,
+			})
 			continue
 		case "held":
-			Expect(strconv.Itoa(gate.held)).To(Equal(strings.TrimSpace(expected)), line)
+			Expect(fmt.Sprintf("flows=%d busy=%d", gate.Flows(), gate.InHand())).To(Equal(strings.TrimSpace(expected)), line)
 			continue
 		}
 		actions := t.Step(now, eventOf(fields[1], args), nil)
@@ -131,15 +143,6 @@
 	return m
 }
 
-func reason(s string) owner.Reason {
-	for _, r := range owner.Reasons() {
-		if r.String() == s {
-			return r
-		}
-	}
-	return owner.None
-}
-
 func keyOf(args map[string]string) link.Key {
 	return link.Key{
 		Caller:     uint32(number(args["key"])),
@@ -249,6 +252,8 @@
 	switch a := a.(type) {
 	case owner.Connect:
 		return "connect"
+	case owner.Keep:
+		return "keep"
 	case owner.Accept:
 		return "accept"
 	case owner.Deliver:
--- a/internal/flow/owner/walk.go
+++ b/internal/flow/owner/walk.go
@@ -50,6 +50,16 @@
 	return w.all() &^ (w.denied | w.gone | w.own())
 }
 
+// others are the candidates of a second round.
+func (w walk) others() uint16 {
+	return w.all() &^ (w.gone | w.silent | w.own())
+}
+
+// goesOn tells whether an opening can be handed on.
+func (w walk) goesOn() bool {
+	return w.rest()&^w.silent != 0 || w.round < lastRound && w.others() != 0
+}
+
 // next is the first of the given candidates after this one, around the list.
 func (w walk) next(among uint16) int {
 	later := among &^ (w.own()<<1 - 1)
