agent: keep the flows of one upstream in one table

The gate counts one upstream's work and lets its waiting openings in by turn, so shards of a flow table would only share its lock. A handshake that is given up ends inside the stack without a word to the caller.

--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -22,7 +21,6 @@
 )
 
 const (
-	shardCount    = 16
 	datagramBytes = 4096
 	socketBytes   = 4 << 20
 	tickInterval  = 50 * time.Millisecond
@@ -36,14 +34,12 @@
 	ring     *keys.Ring
 	logger   zerolog.Logger
 	idle     time.Duration
-	table    func(shard int) *owner.Table
 	tunnel   *net.UDPConn
 	stack    *stack.Stack
-	shards   [shardCount]*shard
+	flows    *shard
 	counts   counts
 	emptied  chan struct{}
 	stopped  chan struct{}
-	empty    atomic.Int32
 	closing  sync.WaitGroup
 }
 
@@ -85,16 +81,15 @@
 	}
 }
 
-// New opens the sockets of a side process. The table function makes the flow
-// table of each shard.
-func New(ring *keys.Ring, table func(shard int) *owner.Table, options ...Option) (a *Agent, err error) {
+// New opens the sockets of a side process around the decisions of table.
+func New(ring *keys.Ring, table *owner.Table, options ...Option) (a *Agent, err error) {
 	defer func() { err = eris.Wrap(err, "starting the side process") }()
 	a = &Agent{
 		listen:  netip.MustParseAddrPort("127.0.0.1:0"),
 		ring:    ring,
 		logger:  zerolog.Nop(),
 		idle:    defaultKeepalive,
-		table:   table,
+		flows:   newShard(table, wire.NewSealer(ring)),
 		emptied: make(chan struct{}),
 		stopped: make(chan struct{}),
 	}
@@ -109,9 +104,6 @@
 	if err != nil {
 		return nil, errors.Join(err, a.tunnel.Close())
 	}
-	for i := range a.shards {
-		a.shards[i] = newShard(table(i), wire.NewSealer(ring))
-	}
 	a.stack, err = stack.New(stack.WithOutput(a.output), stack.WithOpening(a.opened))
 	if err != nil {
 		return nil, errors.Join(err, a.tunnel.Close())
@@ -133,9 +125,7 @@
 	_ = a.tunnel.Close()
 	w.Wait()
 	close(a.stopped)
-	for _, s := range a.shards {
-		s.cutAll()
-	}
+	a.cutAll()
 	a.closing.Wait()
 	a.stack.Close()
 }
@@ -143,11 +133,9 @@
 // Drain takes no new flows from now on and cuts the rest at the deadline.
 // Emptied tells when no flow is left.
 func (a *Agent) Drain(deadline time.Time) {
-	for _, s := range a.shards {
-		a.step(s, owner.Drain{
-			Deadline: deadline,
-		}, nil)
-	}
+	a.step(owner.Drain{
+		Deadline: deadline,
+	}, nil)
 }
 
 // Emptied is closed once a drain has ended.
@@ -155,13 +143,6 @@
 	return a.emptied
 }
 
-// emptyShard notes that a shard's drain has ended.
-func (a *Agent) emptyShard() {
-	if a.empty.Add(1) == shardCount {
-		close(a.emptied)
-	}
-}
-
 func (a *Agent) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -170,9 +151,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			for _, s := range a.shards {
-				a.step(s, owner.Tick{}, nil)
-			}
+			a.step(owner.Tick{}, nil)
 		}
 	}
 }
@@ -215,7 +194,7 @@
 		a.counts.malformed.Add(1)
 		return
 	}
-	a.step(a.shard(p.Key), owner.Arrived{
+	a.step(owner.Arrived{
 		Packet:      p,
 		Service:     m.Service,
 		Incarnation: m.Candidates[m.Position].Incarnation,
@@ -230,18 +209,14 @@
 // answer returns a probe, so that the other end knows its link is alive.
 func (a *Agent) answer(m *wire.Message, from netip.AddrPort) {
 	m.Kind = wire.Answer
-	a.shards[0].send(a.tunnel, m, from)
-}
-
-func (a *Agent) shard(k link.Key) *shard {
-	return a.shards[k.Hash()%shardCount]
+	a.flows.send(a.tunnel, m, from)
 }
 
 // output takes a packet from the stack to the fabric.
 func (a *Agent) output(packet []byte) {
 	p, swapped := reverse(packet)
 	if swapped {
-		a.step(a.shard(p.Key), owner.Answered{
+		a.step(owner.Answered{
 			Packet: p,
 		}, nil)
 	}
--- a/internal/role/agent/agent_test.go
+++ b/internal/role/agent/agent_test.go
@@ -79,9 +79,8 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(u.Kill)
 	incarnation := node.Incarnation(i + 1)
-	a, err := agent.New(b.ring, func(int) *owner.Table {
-		return owner.New(owner.WithIdentity(service, incarnation))
-	}, agent.WithUpstream(u.Address()), agent.WithFabric(b.fabric.AnswerAddress()))
+	table := owner.New(owner.WithIdentity(service, incarnation))
+	a, err := agent.New(b.ring, table, agent.WithUpstream(u.Address()), agent.WithFabric(b.fabric.AnswerAddress()))
 	Expect(err).NotTo(HaveOccurred())
 	run(ctx, a.Run)
 	b.origins = append(b.origins, u)
--- a/internal/role/agent/conn.go
+++ b/internal/role/agent/conn.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/clementinewing/clementinewing/internal/edge/craft"
 	"github.com/clementinewing/clementinewing/internal/edge/stack"
 	"github.com/clementinewing/clementinewing/internal/flow/owner"
 	"github.com/clementinewing/clementinewing/internal/world/link"
@@ -27,7 +28,7 @@
 	a.closing.Go(func() {
 		upstream, err := a.dial()
 		if err != nil {
-			a.step(s, owner.Failed{
+			a.step(owner.Failed{
 				Key:    c.Key,
 				Serial: c.Serial,
 				Reason: owner.ConnectFailed,
@@ -38,7 +39,7 @@
 			cancel(upstream)
 			return
 		}
-		a.step(s, owner.Connected(c), nil)
+		a.step(owner.Connected(c), nil)
 	})
 }
 
@@ -72,7 +73,7 @@
 
 // opened completes the handshake of a flow and carries its bytes.
 func (a *Agent) opened(o *stack.Opening) {
-	s := a.shard(o.Key)
+	s := a.flows
 	f := s.flow(o.Key)
 	if f == nil || f.upstream == nil {
 		a.counts.orphans.Add(1)
@@ -112,7 +113,7 @@
 
 func (a *Agent) end(s *shard, f *flow) {
 	s.forget(f)
-	a.step(s, owner.Ended{
+	a.step(owner.Ended{
 		Key:    f.key,
 		Serial: f.serial,
 	}, nil)
@@ -184,23 +185,28 @@
 	if f == nil || (c.Serial != 0 && f.serial != c.Serial) {
 		return
 	}
-	if s.cut(f, c.Silent) {
-		s.forget(f)
-	}
+	a.cut(s, f)
 }
 
-// cut marks a flow as given up and resets what it has of connections. It tells
-// whether nothing else will end the flow.
-func (s *shard) cut(f *flow, silent bool) bool {
+// cut marks a flow as given up and resets what it has of connections. A
+// handshake under way is ended inside the stack, without a word to the caller.
+func (a *Agent) cut(s *shard, f *flow) {
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	f.aborted = true
-	f.silent = silent
+	opening := f.opening
 	if f.upstream != nil {
 		cancel(f.upstream)
 	}
 	if f.conn != nil {
 		f.conn.Abort()
 	}
-	return f.conn == nil
+	s.mutex.Unlock()
+	if opening == nil {
+		return
+	}
+	s.forget(f)
+	p, err := link.Parse(opening.Inner)
+	if err == nil {
+		a.stack.Inject(craft.CallerReset(nil, p.Key, p.Sequence+1))
+	}
 }
--- a/internal/role/agent/shard.go
+++ b/internal/role/agent/shard.go
@@ -15,7 +15,7 @@
 	"github.com/clementinewing/clementinewing/internal/world/link"
 )
 
-// shard holds a part of the flows under its own lock.
+// shard holds the flows of one upstream under its own lock.
 type shard struct {
 	mutex  sync.Mutex
 	table  *owner.Table
@@ -34,8 +34,6 @@
 	upstream *net.TCPConn
 	conn     *stack.Conn
 	aborted  bool
-	// silent flows send nothing more to the caller.
-	silent bool
 }
 
 func newShard(t *owner.Table, s *wire.Sealer) *shard {
@@ -48,13 +46,12 @@
 
 // step runs one event through the decisions and carries out what they say. The
 // message is the packet at hand, if any.
-func (a *Agent) step(s *shard, e owner.Event, m *wire.Message) {
+func (a *Agent) step(e owner.Event, m *wire.Message) {
+	s := a.flows
 	s.mutex.Lock()
 	actions := s.table.Step(time.Now(), e, nil)
 	for _, c := range actions {
-		if connect, ok := c.(owner.Connect); ok {
-			s.keep(connect, m)
-		}
+		s.note(c, m)
 	}
 	s.mutex.Unlock()
 	for _, c := range actions {
@@ -62,10 +59,24 @@
 	}
 }
 
-func (s *shard) keep(c owner.Connect, m *wire.Message) {
-	s.flows[c.Key] = &flow{
-		key:     c.Key,
-		serial:  c.Serial,
+// note keeps what later actions on a flow need. A flow that waited for a slot
+// has been kept before it is connected.
+func (s *shard) note(c owner.Action, m *wire.Message) {
+	switch c := c.(type) {
+	case owner.Keep:
+		s.keep(c.Key, c.Serial, m)
+	case owner.Connect:
+		f := s.flows[c.Key]
+		if f == nil || f.serial != c.Serial {
+			s.keep(c.Key, c.Serial, m)
+		}
+	}
+}
+
+func (s *shard) keep(k link.Key, serial uint64, m *wire.Message) {
+	s.flows[k] = &flow{
+		key:     k,
+		serial:  serial,
 		opening: cloneMessage(m),
 	}
 }
@@ -104,7 +115,7 @@
 		a.pass(s, c, m)
 	case owner.Refuse:
 		a.counts.add(c.Reason)
-		a.reset(s.forgetOpening(c.Key, m))
+		a.reset(s.opening(c.Key, c.Serial, m))
 	case owner.Reset:
 		a.counts.add(c.Reason)
 		a.reset(m)
@@ -116,27 +127,30 @@
 		a.counts.add(c.Reason)
 		a.abort(s, c)
 	case owner.Emptied:
-		a.emptyShard()
+		close(a.emptied)
 	}
 }
 
-// forgetOpening gives the message that an action on an opening is about: the
-// kept one, which is dropped, or else the one at hand.
-func (s *shard) forgetOpening(k link.Key, m *wire.Message) *wire.Message {
-	if m != nil {
+// opening gives the message that an action on an opening is about: the one at
+// hand for serial 0, else the kept one, whose flow is given up.
+func (s *shard) opening(k link.Key, serial uint64, m *wire.Message) *wire.Message {
+	if serial == 0 {
 		return m
 	}
 	f := s.flow(k)
-	if f == nil {
+	if f == nil || f.serial != serial {
 		return nil
 	}
 	s.forget(f)
+	if f.upstream != nil {
+		cancel(f.upstream)
+	}
 	return f.opening
 }
 
 func (a *Agent) pass(s *shard, c owner.Pass, m *wire.Message) {
 	a.counts.add(c.Reason)
-	m = s.forgetOpening(c.Key, m)
+	m = s.opening(c.Key, c.Serial, m)
 	if m == nil || c.Position >= len(m.Candidates) {
 		return
 	}
@@ -180,9 +194,9 @@
 }
 
 // cutAll cuts every flow.
-func (s *shard) cutAll() {
-	for _, f := range s.all() {
-		s.cut(f, true)
+func (a *Agent) cutAll() {
+	for _, f := range a.flows.all() {
+		a.cut(a.flows, f)
 	}
 }
 
