agent: ask silent candidates last

A walk dies at a dead candidate. Peers that packets are handed to are asked for an answer, a silent one gets a new socket first, and while it stays silent its bit goes into each packet's event.

--- a/internal/conf/roles/parse.go
+++ b/internal/conf/roles/parse.go
@@ -57,7 +57,8 @@
 	}
 	s := d.Section("agent")
 	s.Only("name", "region", "domain", "fabric", "tunnel", "status", "contacts", "service", "upstream",
-		"slots", "connections", "weight", "drain_seconds", "keepalive_seconds")
+		"slots", "connections", "weight", "drain_seconds", "warm_seconds",
+		"keepalive_seconds")
 	a.Fabric = s.Address("fabric")
 	a.Service = s.NameOf("service")
 	a.Upstream = s.Address("upstream")
@@ -65,6 +66,10 @@
 	a.Connections = number(s, "connections", DefaultConnections, ConnectionsMost)
 	a.Weight = number(s, "weight", DefaultWeight, WeightMost)
 	a.Drain = seconds(s, "drain_seconds", DefaultDrainSeconds, DrainSecondsMost)
+	a.Warm = time.Second * time.Duration(s.Number("warm_seconds", lines.Limits{
+		Most:  WarmSecondsMost,
+		Unset: DefaultWarmSeconds,
+	}))
 	a.Keepalive = seconds(s, "keepalive_seconds", DefaultKeepaliveSeconds, KeepaliveSecondsMost)
 	err = a.read(path, d, s)
 	if err != nil {
--- a/internal/conf/roles/roles.go
+++ b/internal/conf/roles/roles.go
@@ -15,11 +15,13 @@
 	DefaultConnections      = 2_000
 	DefaultWeight           = 100
 	DefaultDrainSeconds     = 60
+	DefaultWarmSeconds      = 0
 	DefaultKeepaliveSeconds = 30
 	SlotsMost               = 100_000
 	ConnectionsMost         = 1_000_000
 	WeightMost              = 10_000
 	DrainSecondsMost        = 24 * 60 * 60
+	WarmSecondsMost         = 60 * 60
 	KeepaliveSecondsMost    = 2 * 60 * 60
 )
 
@@ -44,6 +46,8 @@
 	Weight      uint32
 	// Drain is how long a stop waits for open flows.
 	Drain time.Duration
+	// Warm is how long the cold start of the upstream takes.
+	Warm time.Duration
 	// Keepalive is how long a caller may be silent before it is probed.
 	Keepalive time.Duration
 }
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -17,6 +17,7 @@
 	"github.com/clementinewing/clementinewing/internal/edge/stack"
 	"github.com/clementinewing/clementinewing/internal/edge/wire"
 	"github.com/clementinewing/clementinewing/internal/flow/owner"
+	"github.com/clementinewing/clementinewing/internal/flow/probe"
 	"github.com/clementinewing/clementinewing/internal/world/link"
 )
 
@@ -36,7 +37,9 @@
 	idle     time.Duration
 	tunnel   *net.UDPConn
 	stack    *stack.Stack
+	senders  *wire.Senders
 	flows    *shard
+	peers    *peers
 	counts   counts
 	emptied  chan struct{}
 	stopped  chan struct{}
@@ -89,6 +92,8 @@
 		ring:    ring,
 		logger:  zerolog.Nop(),
 		idle:    defaultKeepalive,
+		senders: wire.NewSenders(0),
+		peers:   newPeers(),
 		flows:   newShard(table, wire.NewSealer(ring)),
 		emptied: make(chan struct{}),
 		stopped: make(chan struct{}),
@@ -119,10 +124,11 @@
 // Run handles packets until ctx ends, then cuts what is left.
 func (a *Agent) Run(ctx context.Context) {
 	var w sync.WaitGroup
-	w.Go(a.receive)
+	w.Go(func() { a.receive(a.tunnel) })
 	w.Go(func() { a.tick(ctx) })
 	<-ctx.Done()
 	_ = a.tunnel.Close()
+	_ = a.closeLinks()
 	w.Wait()
 	close(a.stopped)
 	a.cutAll()
@@ -152,16 +158,17 @@
 			return
 		case <-ticker.C:
 			a.step(owner.Tick{}, nil)
+			a.stepPeers(probe.Tick{})
 		}
 	}
 }
 
-func (a *Agent) receive() {
-	opener := wire.NewOpener(a.ring)
+func (a *Agent) receive(socket *net.UDPConn) {
+	opener := wire.NewOpener(a.ring, wire.WithSenders(a.senders))
 	b := make([]byte, datagramBytes)
 	m := &wire.Message{}
 	for {
-		n, from, err := a.tunnel.ReadFromUDPAddrPort(b)
+		n, from, err := socket.ReadFromUDPAddrPort(b)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -173,16 +180,20 @@
 			a.counts.fault(err)
 			continue
 		}
-		a.message(m, from)
+		a.message(socket, m, from)
 	}
 }
 
-func (a *Agent) message(m *wire.Message, from netip.AddrPort) {
+func (a *Agent) message(socket *net.UDPConn, m *wire.Message, from netip.AddrPort) {
 	switch m.Kind {
 	case wire.Packet:
 		a.packet(m)
 	case wire.Probe:
-		a.answer(m, from)
+		a.answer(socket, m, from)
+	case wire.Answer:
+		a.stepPeers(probe.Answered{
+			Peer: from,
+		})
 	default:
 		a.counts.foreign.Add(1)
 	}
@@ -202,14 +213,15 @@
 		Candidates:  len(m.Candidates),
 		Denied:      m.Denied,
 		Round:       m.Round,
+		Silent:      a.peers.silent(m.Candidates),
 		Balancer:    m.Balancer,
 	}, m)
 }
 
 // answer returns a probe, so that the other end knows its link is alive.
-func (a *Agent) answer(m *wire.Message, from netip.AddrPort) {
+func (a *Agent) answer(socket *net.UDPConn, m *wire.Message, from netip.AddrPort) {
 	m.Kind = wire.Answer
-	a.flows.send(a.tunnel, m, from)
+	a.flows.send(socket, m, from)
 }
 
 // output takes a packet from the stack to the fabric.
--- a/internal/role/agent/shard.go
+++ b/internal/role/agent/shard.go
@@ -12,6 +12,7 @@
 	"github.com/clementinewing/clementinewing/internal/edge/stack"
 	"github.com/clementinewing/clementinewing/internal/edge/wire"
 	"github.com/clementinewing/clementinewing/internal/flow/owner"
+	"github.com/clementinewing/clementinewing/internal/flow/probe"
 	"github.com/clementinewing/clementinewing/internal/world/link"
 )
 
@@ -114,17 +115,13 @@
 	case owner.Pass:
 		a.pass(s, c, m)
 	case owner.Refuse:
-		a.counts.add(c.Reason)
 		a.reset(s.opening(c.Key, c.Serial, m))
 	case owner.Reset:
-		a.counts.add(c.Reason)
 		a.reset(m)
 	case owner.Drop:
-		a.counts.add(c.Reason)
 	case owner.Hint:
 		a.hint(s, c, m)
 	case owner.Abort:
-		a.counts.add(c.Reason)
 		a.abort(s, c)
 	case owner.Emptied:
 		close(a.emptied)
@@ -149,7 +146,6 @@
 }
 
 func (a *Agent) pass(s *shard, c owner.Pass, m *wire.Message) {
-	a.counts.add(c.Reason)
 	m = s.opening(c.Key, c.Serial, m)
 	if m == nil || c.Position >= len(m.Candidates) {
 		return
@@ -157,7 +153,11 @@
 	m.Position = uint8(c.Position)
 	m.Denied = c.Denied
 	m.Round = c.Round
-	s.send(a.tunnel, m, m.Candidates[c.Position].Agent)
+	next := m.Candidates[c.Position].Agent
+	s.send(a.link(next), m, next)
+	a.stepPeers(probe.Sent{
+		Peer: next,
+	})
 }
 
 func (a *Agent) reset(m *wire.Message) {
--- /dev/null
+++ b/internal/role/side/side.go
@@ -0,0 +1,183 @@
+// Package side assembles a side process: the flows of its upstream, the
+// announcement of its endpoint, and what it publishes about itself.
+package side
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc/credentials"
+
+	"github.com/clementinewing/clementinewing/internal/conf/roles"
+	"github.com/clementinewing/clementinewing/internal/edge/keys"
+	"github.com/clementinewing/clementinewing/internal/edge/peer"
+	"github.com/clementinewing/clementinewing/internal/flow/admit"
+	"github.com/clementinewing/clementinewing/internal/flow/limit"
+	"github.com/clementinewing/clementinewing/internal/flow/owner"
+	"github.com/clementinewing/clementinewing/internal/role/agent"
+	"github.com/clementinewing/clementinewing/internal/world/node"
+	"github.com/clementinewing/clementinewing/internal/world/pact"
+)
+
+const leaveTimeout = 2 * time.Second
+
+// Side is one side process.
+type Side struct {
+	settings    roles.Agent
+	incarnation node.Incarnation
+	ring        *keys.Ring
+	logger      zerolog.Logger
+	server      credentials.TransportCredentials
+	client      credentials.TransportCredentials
+	agent       *agent.Agent
+	announcer   *peer.Announcer
+	started     time.Time
+	state       atomic.Uint32
+	mutex       sync.Mutex
+	last        map[string]lastCount
+}
+
+// Option sets one property of a Side.
+type Option func(*Side)
+
+// WithLogger sets the logger.
+func WithLogger(l zerolog.Logger) Option {
+	return func(s *Side) {
+		s.logger = l
+	}
+}
+
+// WithCredentials secures the links to balancers.
+func WithCredentials(server, client credentials.TransportCredentials) Option {
+	return func(s *Side) {
+		s.server = server
+		s.client = client
+	}
+}
+
+// New opens a side process.
+func New(settings roles.Agent, options ...Option) (s *Side, err error) {
+	defer func() { err = eris.Wrap(err, "opening the side process") }()
+	s = &Side{
+		settings:    settings,
+		incarnation: node.Incarnation(rand.Uint64()),
+		ring:        keys.NewRing(settings.Keys),
+		logger:      zerolog.Nop(),
+		started:     time.Now(),
+		last:        map[string]lastCount{},
+	}
+	for _, o := range options {
+		o(s)
+	}
+	s.agent, err = agent.New(
+		s.ring,
+		s.table(),
+		agent.WithListen(settings.Tunnel),
+		agent.WithUpstream(settings.Upstream),
+		agent.WithFabric(settings.Fabric),
+		agent.WithKeepalive(settings.Keepalive),
+		agent.WithLogger(s.logger),
+	)
+	if err != nil {
+		return nil, err
+	}
+	s.announcer, err = peer.NewAnnouncer(s.incarnation, s.peerOptions()...)
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Side) table() *owner.Table {
+	now := time.Now()
+	gate := admit.New(
+		admit.Limits{
+			Slots:       int(s.settings.Slots),
+			Connections: int(s.settings.Connections),
+		},
+		admit.WithRamp(limit.Ramp{
+			Begin: now,
+			Warm:  now.Add(s.settings.Warm),
+		}),
+	)
+	return owner.New(
+		owner.WithIdentity(pact.Identify(s.settings.Service), s.incarnation),
+		owner.WithGate(gate),
+	)
+}
+
+func (s *Side) peerOptions() []peer.Option {
+	o := []peer.Option{
+		peer.WithSeeds(s.settings.Contacts...),
+	}
+	if s.client == nil {
+		return append(o, peer.WithInsecure())
+	}
+	return append(o, peer.WithCredentials(s.client, s.server))
+}
+
+// Address is where balancers send packets.
+func (s *Side) Address() netip.AddrPort {
+	return s.agent.Address()
+}
+
+// SetKeys puts other keys for datagrams in force; open flows go on.
+func (s *Side) SetKeys(k *keys.Set) {
+	s.ring.Swap(k)
+}
+
+// Run serves until drain ends, then takes no new flows and waits for the open
+// ones up to the settings' deadline. Once kill ends it cuts what is left.
+func (s *Side) Run(drain, kill context.Context) {
+	var w sync.WaitGroup
+	packets, stopPackets := context.WithCancel(context.Background())
+	calls, stopCalls := context.WithCancel(context.Background())
+	w.Go(func() { s.agent.Run(packets) })
+	w.Go(func() { s.announcer.Run(calls) })
+	s.announce(node.Serving)
+	s.logger.Info().Str("service", s.settings.Service).Stringer("tunnel", s.Address()).Msg("serving")
+	select {
+	case <-drain.Done():
+		s.leave(kill)
+	case <-kill.Done():
+	}
+	stopPackets()
+	stopCalls()
+	w.Wait()
+	s.logger.Info().Msg("stopped")
+}
+
+// leave drains the upstream and tells the balancers.
+func (s *Side) leave(kill context.Context) {
+	deadline := time.Now().Add(s.settings.Drain)
+	s.logger.Info().Time("deadline", deadline).Msg("draining")
+	s.announce(node.Draining)
+	s.agent.Drain(deadline)
+	select {
+	case <-s.agent.Emptied():
+	case <-kill.Done():
+	}
+	ctx, cancel := context.WithTimeout(kill, leaveTimeout)
+	defer cancel()
+	s.state.Store(uint32(node.Gone))
+	s.announcer.Leave(ctx)
+}
+
+func (s *Side) announce(state node.State) {
+	s.state.Store(uint32(state))
+	s.announcer.Update(node.Endpoint{
+		Service:     pact.Identify(s.settings.Service),
+		Upstream:    s.settings.Name,
+		Agent:       s.Address(),
+		Incarnation: s.incarnation,
+		Place:       s.settings.Place,
+		Weight:      s.settings.Weight,
+		State:       state,
+	})
+}
--- /dev/null
+++ b/internal/role/side/state.go
@@ -0,0 +1,118 @@
+package side
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/edge/meter"
+	"github.com/clementinewing/clementinewing/internal/flow/owner"
+	"github.com/clementinewing/clementinewing/internal/world/node"
+)
+
+// lastCount is a counter as it was seen last, and when it last rose.
+type lastCount struct {
+	value uint64
+	rose  time.Time
+}
+
+// Sample gives the counters for metrics.
+func (s *Side) Sample() meter.Sample {
+	c := s.agent.Counts()
+	out := meter.Sample{
+		Totals: []meter.Total{
+			{
+				Name:  "flows_taken",
+				Value: c.Owner.Taken,
+			},
+			{
+				Name:  "hints_sent",
+				Value: c.Owner.Hints,
+			},
+		},
+		Levels: []meter.Level{
+			{
+				Name:  "flows_open",
+				Value: float64(c.Owner.Open),
+			},
+			{
+				Name:  "flows_half_open",
+				Value: float64(c.Owner.Half),
+			},
+			{
+				Name:  "flows_connecting",
+				Value: float64(c.Owner.Connecting),
+			},
+		},
+	}
+	for _, r := range s.reasons() {
+		out.Totals = append(out.Totals, meter.Total{
+			Name:   "packets",
+			Reason: r.Name,
+			Value:  r.Count,
+		})
+	}
+	return out
+}
+
+// State gives what `show` prints.
+func (s *Side) State() meter.State {
+	c := s.agent.Counts().Owner
+	state := node.State(s.state.Load())
+	return meter.State{
+		Role:     "agent",
+		Name:     s.settings.Name,
+		Place:    s.settings.Place.String(),
+		Now:      time.Now(),
+		Started:  s.started,
+		Draining: state == node.Draining,
+		Flows: meter.Flows{
+			Connecting: c.Connecting,
+			HalfOpen:   c.Half,
+			Open:       c.Open,
+			Lingering:  c.Lingering,
+			SlotsLimit: int(s.settings.Slots),
+		},
+		Endpoints: []meter.Endpoint{
+			{
+				Service:     s.settings.Service,
+				Upstream:    s.settings.Name,
+				Agent:       s.Address().String(),
+				Incarnation: fmt.Sprintf("%016x", uint64(s.incarnation)),
+				Place:       s.settings.Place.String(),
+				State:       state.String(),
+				Weight:      s.settings.Weight,
+			},
+		},
+		Reasons: s.reasons(),
+	}
+}
+
+// reasons gives every counter with the time at which it was last seen to rise.
+func (s *Side) reasons() (out []meter.Reason) {
+	c := s.agent.Counts()
+	for _, r := range owner.Reasons() {
+		out = append(out, s.reason(r.String(), c.Owner.Of(r)))
+	}
+	for _, f := range c.Faults {
+		out = append(out, s.reason(f.Name, f.Count))
+	}
+	return out
+}
+
+func (s *Side) reason(name string, count uint64) meter.Reason {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	last := s.last[name]
+	if count != last.value {
+		last = lastCount{
+			value: count,
+			rose:  time.Now(),
+		}
+		s.last[name] = last
+	}
+	return meter.Reason{
+		Name:  name,
+		Count: count,
+		Last:  last.rose,
+	}
+}
