--- /dev/null
+++ b/internal/fleet/spread/peers.go
@@ -0,0 +1,91 @@
+package spread
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/clementinewing/clementinewing/internal/world/node"
+	"github.com/clementinewing/clementinewing/internal/world/zone"
+)
+
+const (
+	// MaxPeers bounds the peers of a balancer.
+	MaxPeers = 8
+	// samePlacePeers and sameRegionPeers are how many peers are taken near by
+	// before farther ones; what is missing near is filled up from afar.
+	samePlacePeers  = 3
+	sameRegionPeers = 2
+)
+
+// Near tells how far apart two places are: 0 is the same place, 1 the same
+// region, 2 another region.
+func Near(a, b zone.Place) int {
+	switch {
+	case a == b:
+		return 0
+	case a.Region == b.Region:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// Choose picks the peers of a balancer, near ones first. Within a distance each
+// balancer ranks the others differently, so that the peers of all balancers
+// form a random graph.
+func Choose(self node.Endpoint, balancers []node.Endpoint) []node.Endpoint {
+	if len(balancers) <= MaxPeers+1 {
+		return slices.DeleteFunc(slices.Clone(balancers), func(b node.Endpoint) bool {
+			return b.Incarnation == self.Incarnation
+		})
+	}
+	var tiers [3][]node.Endpoint
+	for _, b := range balancers {
+		if b.Incarnation != self.Incarnation {
+			d := Near(self.Place, b.Place)
+			tiers[d] = insertPeer(tiers[d], self, b)
+		}
+	}
+	out := slices.Clone(tiers[0][:min(len(tiers[0]), samePlacePeers)])
+	regional := sameRegionPeers + samePlacePeers - len(out)
+	out = append(out, tiers[1][:min(len(tiers[1]), regional)]...)
+	out = append(out, tiers[2][:min(len(tiers[2]), MaxPeers-len(out))]...)
+	return fillPeers(out, tiers)
+}
+
+// fillPeers adds near balancers where there are too few far ones.
+func fillPeers(out []node.Endpoint, tiers [3][]node.Endpoint) []node.Endpoint {
+	for _, tier := range tiers {
+		for _, b := range tier {
+			if len(out) == MaxPeers {
+				return out
+			}
+			if !slices.Contains(out, b) {
+				out = append(out, b)
+			}
+		}
+	}
+	return out
+}
+
+// insertPeer keeps the MaxPeers best of a distance in falling order.
+func insertPeer(tier []node.Endpoint, self, b node.Endpoint) []node.Endpoint {
+	at, _ := slices.BinarySearchFunc(tier, b, func(x, y node.Endpoint) int {
+		return cmp.Compare(affinity(self, y), affinity(self, x))
+	})
+	if at == MaxPeers {
+		return tier
+	}
+	tier = slices.Insert(tier, at, b)
+	return tier[:min(len(tier), MaxPeers)]
+}
+
+// affinity mixes two incarnations with the finalizer of SplitMix64.
+func affinity(self, b node.Endpoint) uint64 {
+	x := uint64(self.Incarnation)*0x9e3779b97f4a7c15 ^ uint64(b.Incarnation)
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
