--- /dev/null
+++ b/internal/demo/calls/calls.go
@@ -0,0 +1,205 @@
+// Package calls lets callers of one service open long feeds and short requests,
+// and judges each by what its caller saw and what the upstreams wrote down.
+package calls
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/demo/score"
+	"github.com/clementinewing/clementinewing/internal/fake/caller"
+	"github.com/clementinewing/clementinewing/internal/fake/origin"
+)
+
+// Lengths of the calls.
+const (
+	feedLeast      = 4 * time.Second
+	feedMost       = 20 * time.Second
+	stallTimeout   = 5 * time.Second
+	requestTimeout = 20 * time.Second
+	bodyBytesMost  = 4_000
+)
+
+// Service is one service under load.
+type Service struct {
+	Name    string
+	Target  netip.AddrPort
+	Callers []*caller.Caller
+	Ledger  *origin.Ledger
+	// Once tells that a request must not run twice.
+	Once bool
+	// Died tells whether the upstream of the given name has been killed.
+	Died  func(upstream string) bool
+	Score *score.Score
+	next  atomic.Uint64
+}
+
+// Requests opens rate requests a second at random times until ctx ends, and
+// returns once each is answered.
+func (s *Service) Requests(ctx context.Context, seed uint64, rate float64) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	var w sync.WaitGroup
+	for ctx.Err() == nil {
+		wait := time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+		size := random.IntN(bodyBytesMost)
+		sleep(ctx, wait)
+		w.Go(func() { s.request(size) })
+	}
+	w.Wait()
+}
+
+// Feeds keeps count feeds open until ctx ends; each lasts a random time.
+func (s *Service) Feeds(ctx context.Context, seed uint64, count int) {
+	var w sync.WaitGroup
+	for i := range count {
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		w.Go(func() {
+			sleep(ctx, time.Duration(random.Int64N(int64(time.Second))))
+			for ctx.Err() == nil {
+				length := feedLeast + time.Duration(random.Int64N(int64(feedMost-feedLeast)))
+				s.feed(ctx, length)
+			}
+		})
+	}
+	w.Wait()
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
+// request runs one request and judges it.
+func (s *Service) request(size int) {
+	n := s.next.Add(1)
+	id := fmt.Sprintf("%s-%d", s.Name, n)
+	s.Score.Opened()
+	body, err := s.post(s.Callers[n%uint64(len(s.Callers))], id, size)
+	runs := s.Ledger.Runs(id)
+	whole := err == nil && strings.HasPrefix(body, s.Name+" ") && strings.HasSuffix(body, fmt.Sprintf(" %s %d\n", id, size))
+	switch {
+	case whole:
+		s.Score.Finished()
+	case isRefused(err):
+		s.Score.Refused(len(runs) > 0)
+	default:
+		s.Score.Broken(s.causeOf(runs))
+	}
+	s.Score.Checked(s.Once && len(runs) > 1, s.strayed(runs), whole && len(runs) == 0)
+}
+
+func (s *Service) post(c *caller.Caller, id string, size int) (answer string, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	url := fmt.Sprintf("http://%s%s?id=%s", s.Target, origin.RunPath, id)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(strings.Repeat("x", size)))
+	if err != nil {
+		return "", err
+	}
+	reply, err := c.Client().Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer func() { err = errors.Join(err, reply.Body.Close()) }()
+	body, err := io.ReadAll(reply.Body)
+	return string(body), err
+}
+
+// isRefused tells whether the handshake was answered with a reset.
+func isRefused(err error) bool {
+	return err != nil && (errors.Is(err, syscall.ECONNREFUSED) || strings.Contains(err.Error(), "connection was refused"))
+}
+
+// causeOf blames a broken request on its upstream only if that was killed.
+func (s *Service) causeOf(runs []origin.Run) score.Cause {
+	for _, r := range runs {
+		if s.Died(r.Upstream) {
+			return score.DeadUpstream
+		}
+	}
+	return score.Planned
+}
+
+func (s *Service) strayed(runs []origin.Run) bool {
+	for _, r := range runs {
+		if r.Service != s.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// feed reads one feed for a while and judges how it ended.
+func (s *Service) feed(ctx context.Context, length time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	s.Score.Opened()
+	seen, err := s.read(ctx)
+	stalled := seen.upstream != "" && time.Since(seen.heard) > stallTimeout
+	switch {
+	case ctx.Err() != nil && !stalled:
+		s.Score.Finished()
+	case isRefused(err):
+		s.Score.Refused(false)
+		sleep(ctx, time.Second)
+	case s.Died(seen.upstream):
+		s.Score.Broken(score.DeadUpstream)
+	default:
+		s.Score.Broken(score.Planned)
+	}
+}
+
+// seen is what a caller saw of a feed.
+type seen struct {
+	upstream string
+	// heard is when the last line came.
+	heard time.Time
+}
+
+// read takes a feed's lines until it ends.
+func (s *Service) read(ctx context.Context) (out seen, err error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s", s.Target, origin.FeedPath), nil)
+	if err != nil {
+		return out, err
+	}
+	c := s.Callers[s.next.Add(1)%uint64(len(s.Callers))]
+	reply, err := c.Client().Do(r)
+	if err != nil {
+		return out, err
+	}
+	defer func() { err = errors.Join(err, reply.Body.Close()) }()
+	lines := bufio.NewScanner(reply.Body)
+	for expected := 0; lines.Scan(); expected++ {
+		out.upstream, err = s.line(lines.Text(), expected)
+		if err != nil {
+			return out, err
+		}
+		out.heard = time.Now()
+	}
+	return out, lines.Err()
+}
+
+// line checks one line of a feed and gives the upstream that it came from.
+func (s *Service) line(text string, expected int) (upstream string, err error) {
+	var service string
+	var number int
+	_, err = fmt.Sscanf(text, "%s %s %d", &service, &upstream, &number)
+	if err == nil && service == s.Name && number == expected {
+		return upstream, nil
+	}
+	s.Score.Checked(false, service != s.Name, false)
+	return upstream, fmt.Errorf("line %d of the feed is %q", expected, text)
+}
--- a/internal/edge/craft/craft.go
+++ b/internal/edge/craft/craft.go
@@ -47,18 +47,40 @@
 	})
 }
 
-func segment(out []byte, from, to uint32, fields header.TCPFields) []byte {
+// Datagram appends to out the answer of a datagram service to the caller of k.
+func Datagram(out []byte, k link.Key, payload []byte) []byte {
 	start := len(out)
-	out = append(out, make([]byte, ResetBytes)...)
-	ip := header.IPv4(out[start:])
+	length := header.UDPMinimumSize + len(payload)
+	out = append(out, make([]byte, header.IPv4MinimumSize+header.UDPMinimumSize)...)
+	out = append(out, payload...)
+	encodeIPv4(out[start:], header.UDPProtocolNumber, k.Target, k.Caller)
+	u := header.UDP(out[start+header.IPv4MinimumSize:])
+	u.Encode(&header.UDPFields{
+		SrcPort: k.TargetPort,
+		DstPort: k.CallerPort,
+		Length:  uint16(length),
+	})
+	pseudo := header.PseudoHeaderChecksum(header.UDPProtocolNumber, address(k.Target), address(k.Caller), uint16(length))
+	u.SetChecksum(^checksum.Checksum(u, pseudo))
+	return out
+}
+
+func encodeIPv4(b []byte, protocol tcpip.TransportProtocolNumber, from, to uint32) {
+	ip := header.IPv4(b)
 	ip.Encode(&header.IPv4Fields{
-		TotalLength: ResetBytes,
+		TotalLength: uint16(len(b)),
 		TTL:         hopsMost,
-		Protocol:    uint8(header.TCPProtocolNumber),
+		Protocol:    uint8(protocol),
 		SrcAddr:     address(from),
 		DstAddr:     address(to),
 	})
 	ip.SetChecksum(^ip.CalculateChecksum())
+}
+
+func segment(out []byte, from, to uint32, fields header.TCPFields) []byte {
+	start := len(out)
+	out = append(out, make([]byte, ResetBytes)...)
+	encodeIPv4(out[start:], header.TCPProtocolNumber, from, to)
 	t := header.TCP(out[start+header.IPv4MinimumSize:])
 	t.Encode(&fields)
 	pseudo := header.PseudoHeaderChecksum(header.TCPProtocolNumber, address(from), address(to), header.TCPMinimumSize)
--- a/internal/role/agent/conn.go
+++ b/internal/role/agent/conn.go
@@ -25,6 +25,10 @@
 
 // connect asks the upstream for a connection before the caller gets one.
 func (a *Agent) connect(s *shard, c owner.Connect) {
+	if isDatagram(c.Key) {
+		a.connectDatagrams(s, c)
+		return
+	}
 	a.closing.Go(func() {
 		upstream, err := a.dial()
 		if err != nil {
@@ -65,7 +69,11 @@
 // accept gives the kept opening to the stack, which answers through opened.
 func (a *Agent) accept(s *shard, k link.Key) {
 	f := s.flow(k)
-	if f == nil {
+	if f == nil || f.opening == nil {
+		return
+	}
+	if isDatagram(k) {
+		a.acceptDatagrams(s, f)
 		return
 	}
 	a.stack.Inject(f.opening.Inner)
@@ -200,8 +208,11 @@
 	if f.conn != nil {
 		f.conn.Abort()
 	}
+	if f.datagrams != nil {
+		_ = f.datagrams.Close()
+	}
 	s.mutex.Unlock()
-	if opening == nil {
+	if opening == nil || isDatagram(f.key) {
 		return
 	}
 	s.forget(f)
--- /dev/null
+++ b/internal/role/agent/datagram.go
@@ -0,0 +1,87 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+
+	"github.com/clementinewing/clementinewing/internal/edge/craft"
+	"github.com/clementinewing/clementinewing/internal/flow/owner"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+	"github.com/clementinewing/clementinewing/internal/world/pact"
+)
+
+// datagramAnswerBytes bounds one answer of a datagram service.
+const datagramAnswerBytes = 2048
+
+func isDatagram(k link.Key) bool {
+	return k.Protocol == uint8(pact.UDP)
+}
+
+// connectDatagrams opens the socket of a datagram flow. Nothing is asked of the
+// upstream yet, so there is no wait.
+func (a *Agent) connectDatagrams(s *shard, c owner.Connect) {
+	d := net.Dialer{}
+	upstream, err := d.DialUDP(context.Background(), "udp4", netip.AddrPort{}, a.upstream)
+	if err != nil {
+		a.step(owner.Failed{
+			Key:    c.Key,
+			Serial: c.Serial,
+			Reason: owner.ConnectFailed,
+		}, nil)
+		return
+	}
+	if !s.holdDatagrams(c, upstream) {
+		_ = upstream.Close()
+		return
+	}
+	a.step(owner.Connected(c), nil)
+}
+
+func (s *shard) holdDatagrams(c owner.Connect, upstream *net.UDPConn) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	f := s.flows[c.Key]
+	if f == nil || f.serial != c.Serial || f.aborted {
+		return false
+	}
+	f.datagrams = upstream
+	return true
+}
+
+// acceptDatagrams gives the upstream the datagram that opened the flow and
+// carries its answers from now on.
+func (a *Agent) acceptDatagrams(s *shard, f *flow) {
+	a.deliverDatagram(f, f.opening.Inner)
+	a.closing.Go(func() {
+		a.carryDatagrams(f)
+		_ = f.datagrams.Close()
+		a.end(s, f)
+	})
+}
+
+func (a *Agent) deliverDatagram(f *flow, packet []byte) {
+	p, err := link.Parse(packet)
+	if f == nil || f.datagrams == nil || err != nil {
+		return
+	}
+	_, _ = f.datagrams.Write(packet[p.Total-p.Payload : p.Total])
+}
+
+// carryDatagrams takes answers to the caller until the socket is closed.
+func (a *Agent) carryDatagrams(f *flow) {
+	b := make([]byte, datagramAnswerBytes)
+	var out []byte
+	for {
+		n, err := f.datagrams.Read(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		out = craft.Datagram(out[:0], f.key, b[:n])
+		a.output(out)
+	}
+}
--- a/internal/role/agent/shard.go
+++ b/internal/role/agent/shard.go
@@ -34,7 +34,9 @@
 	opening  *wire.Message
 	upstream *net.TCPConn
 	conn     *stack.Conn
-	aborted  bool
+	// datagrams is the socket to the upstream of a datagram flow.
+	datagrams *net.UDPConn
+	aborted   bool
 }
 
 func newShard(t *owner.Table, s *wire.Sealer) *shard {
@@ -111,7 +113,7 @@
 	case owner.Accept:
 		a.accept(s, c.Key)
 	case owner.Deliver:
-		a.stack.Inject(m.Inner)
+		a.deliver(s, c.Key, m)
 	case owner.Pass:
 		a.pass(s, c, m)
 	case owner.Refuse:
@@ -128,6 +130,14 @@
 	}
 }
 
+func (a *Agent) deliver(s *shard, k link.Key, m *wire.Message) {
+	if isDatagram(k) {
+		a.deliverDatagram(s.flow(k), m.Inner)
+		return
+	}
+	a.stack.Inject(m.Inner)
+}
+
 // opening gives the message that an action on an opening is about: the one at
 // hand for serial 0, else the kept one, whose flow is given up.
 func (s *shard) opening(k link.Key, serial uint64, m *wire.Message) *wire.Message {
@@ -165,7 +175,7 @@
 		return
 	}
 	p, err := link.Parse(m.Inner)
-	if err != nil || p.IsReset() {
+	if err != nil || p.IsReset() || isDatagram(p.Key) {
 		return
 	}
 	_, _ = a.tunnel.WriteToUDPAddrPort(craft.Reset(nil, p), a.fabric)
--- a/internal/world/link/packet.go
+++ b/internal/world/link/packet.go
@@ -37,6 +37,8 @@
 	Flags          uint8
 	// Payload is the number of bytes after the transport header.
 	Payload int
+	// Total is the length of the packet, without what may follow it.
+	Total int
 }
 
 // HasAck tells whether the packet acknowledges bytes.
@@ -65,6 +67,7 @@
 	if binary.BigEndian.Uint16(b[6:])&fragmentMask != 0 {
 		return p, ErrFragment
 	}
+	p.Total = total
 	p.Key.Protocol = b[9]
 	p.Key.Caller = binary.BigEndian.Uint32(b[12:])
 	p.Key.Target = binary.BigEndian.Uint32(b[16:])
