--- a/internal/flow/admit/gate.go
+++ b/internal/flow/admit/gate.go
@@ -51,6 +51,8 @@
 	Take   bool
 	Next   Next
 	Reason Reason
+	// Until is when a held opening is to be asked for again at the latest.
+	Until time.Time
 }
 
 // Result is how a flow ended.
@@ -180,9 +182,7 @@
 		}
 	case reason == DeadlinePassed:
 		return refusal(reason)
-	case a.Held && holds(reason):
-		return holding(reason)
-	case !a.Last && g.budget.Spend():
+	case a.hunts() && g.budget.Spend():
 		return Answer{
 			Next:   HandOn,
 			Reason: reason,
@@ -194,11 +194,15 @@
 			Reason: Accepted,
 		}
 	}
-	if !a.Last {
+	if a.hunts() {
 		reason = g.spent(reason)
 	}
 	if holds(reason) && !a.Deadline.IsZero() && len(g.line) < g.policy.Waiting(g.limits.Slots) {
-		return holding(reason)
+		return Answer{
+			Next:   Hold,
+			Reason: reason,
+			Until:  earlier(a.Deadline, now.Add(holdAt)),
+		}
 	}
 	return refusal(reason)
 }
@@ -238,11 +242,20 @@
 	return r == SlotsFull || r == ColdStart || r == Shedding || r == RetryBudget
 }
 
-func holding(r Reason) Answer {
-	return Answer{
-		Next:   Hold,
-		Reason: r,
+// hunts tells whether the opening goes on if this endpoint has no room: on the
+// first pass at once, later and at its end after it was held.
+func (a Ask) hunts() bool {
+	if a.Held {
+		return a.Candidates > 1
+	}
+	return !a.Last && a.Pass == 0
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
+	return b
 }
 
 func refusal(r Reason) Answer {
--- a/internal/flow/admit/policy.go
+++ b/internal/flow/admit/policy.go
@@ -1,11 +1,16 @@
 package admit
 
+import "time"
+
 const (
+	// holdAt is how long an opening waits at one candidate once all have refused
+	// it, before the next is asked again.
+	holdAt = 10 * time.Millisecond
 	// handOversPerOpening and handOverBurst are the default retry budget.
-	handOversPerOpening = 3.0
+	handOversPerOpening = 8.0
 	handOverBurst       = 100.0
 	// waitingPerSlot bounds the openings that wait, a slot.
-	waitingPerSlot = 2
+	waitingPerSlot = 16
 )
 
 // Policy is how readily a service's openings are handed on while a slot is
--- a/internal/flow/admit/work.go
+++ b/internal/flow/admit/work.go
@@ -5,7 +5,7 @@
 const (
 	// quietAfter is how long no byte passes after the upstream's last one
 	// before its answer counts as complete.
-	quietAfter = 50 * time.Millisecond
+	quietAfter = 5 * time.Millisecond
 	// silentAfter is how long a caller may send nothing on a new flow before
 	// the flow counts as a quiet one.
 	silentAfter = time.Second
