--- /dev/null
+++ b/cmd/clementinewing/balancer.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/clementinewing/clementinewing/internal/board/file"
+	"github.com/clementinewing/clementinewing/internal/conf/roles"
+	"github.com/clementinewing/clementinewing/internal/edge/meter"
+	"github.com/clementinewing/clementinewing/internal/role/front"
+)
+
+func balancerCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "balancer",
+		Usage: "run a balancer on an entry VM",
+		Description: "Takes packets of callers from the fabric and hands each to the side process\n" +
+			"that owns its flow. SIGTERM stops: a balancer has no flows to hand over. SIGHUP\n" +
+			"reads the keys again.",
+		Flags: []cli.Flag{
+			settingsFlag(),
+			&cli.StringFlag{
+				Name:  "file",
+				Usage: "path of an operators' file to put in force without a store, for a trial",
+			},
+		},
+		Action: runBalancer,
+	}
+}
+
+func runBalancer(ctx context.Context, c *cli.Command) (err error) {
+	path, err := settingsPath(c)
+	if err != nil {
+		return err
+	}
+	settings, err := roles.ReadBalancer(path)
+	if err != nil {
+		return err
+	}
+	server, client, err := loadTLS(settings.TLS)
+	if err != nil {
+		return err
+	}
+	logger := newLogger(settings.Common, "balancer")
+	f, err := front.New(settings, front.WithLogger(logger), front.WithCredentials(server, client))
+	if err != nil {
+		return err
+	}
+	err = setTrialFile(f, c.String("file"))
+	if err != nil {
+		return err
+	}
+	m := meter.New("balancer", f.Sample, func() any { return f.State() })
+	stop := beside(logger, settings.Status, m, func() {
+		next, err := roles.ReadBalancer(path)
+		if err != nil {
+			logger.Error().Err(err).Msg("settings are left as they were")
+			return
+		}
+		f.SetKeys(next.Keys)
+		logger.Info().Msg("keys read again")
+	})
+	defer stop()
+	drain, _, end := signals(ctx)
+	defer end()
+	return f.Run(drain)
+}
+
+func setTrialFile(f *front.Front, path string) (err error) {
+	if path == "" {
+		return nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	parsed, err := file.Parse(path, text)
+	if err != nil {
+		return err
+	}
+	f.SetFile(parsed)
+	return nil
+}
--- a/internal/edge/meter/meter.go
+++ b/internal/edge/meter/meter.go
@@ -68,6 +68,9 @@
 		Prefix:         "clementinewing_" + role,
 		CachedReporter: reporter,
 		Separator:      prometheus.DefaultSeparator,
+
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
 	}, collectInterval)
 	return &Meter{
 		sample:  sample,
@@ -86,11 +89,8 @@
 	if err != nil {
 		return err
 	}
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", m.handler)
-	mux.HandleFunc("/state", m.serveState)
 	server := &http.Server{
-		Handler:           mux,
+		Handler:           m.Handler(),
 		ReadHeaderTimeout: requestTimeout,
 	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
@@ -103,6 +103,14 @@
 	return errors.Join(err, m.closer.Close())
 }
 
+// Handler answers /metrics and /state.
+func (m *Meter) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", m.handler)
+	mux.HandleFunc("/state", m.serveState)
+	return mux
+}
+
 func (m *Meter) serveState(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	encoder := json.NewEncoder(w)
@@ -114,7 +122,7 @@
 	ticker := time.NewTicker(collectInterval)
 	defer ticker.Stop()
 	for {
-		m.collect()
+		m.Collect()
 		select {
 		case <-ctx.Done():
 			return
@@ -123,8 +131,8 @@
 	}
 }
 
-// collect moves the tally counters to the totals of now.
-func (m *Meter) collect() {
+// Collect moves the tally counters to the totals of now.
+func (m *Meter) Collect() {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	s := m.sample()
--- /dev/null
+++ b/internal/role/front/front.go
@@ -0,0 +1,159 @@
+// Package front assembles a balancer: its packet path, its part in the fleet, the
+// file in force, and what it publishes about itself.
+package front
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc/credentials"
+
+	"github.com/clementinewing/clementinewing/internal/board/file"
+	"github.com/clementinewing/clementinewing/internal/conf/roles"
+	"github.com/clementinewing/clementinewing/internal/edge/keys"
+	"github.com/clementinewing/clementinewing/internal/edge/peer"
+	"github.com/clementinewing/clementinewing/internal/world/node"
+)
+
+const (
+	leaveTimeout  = 2 * time.Second
+	balancerShare = 100
+)
+
+// Front is one balancer.
+type Front struct {
+	settings    roles.Balancer
+	incarnation node.Incarnation
+	ring        *keys.Ring
+	logger      zerolog.Logger
+	server      credentials.TransportCredentials
+	client      credentials.TransportCredentials
+	listener    net.Listener
+	path        *path
+	member      *peer.Member
+	started     time.Time
+
+	mutex     sync.Mutex
+	file      file.File
+	endpoints []node.Endpoint
+}
+
+// Option sets one property of a Front.
+type Option func(*Front)
+
+// WithLogger sets the logger.
+func WithLogger(l zerolog.Logger) Option {
+	return func(f *Front) {
+		f.logger = l
+	}
+}
+
+// WithCredentials secures the links to other roles.
+func WithCredentials(server, client credentials.TransportCredentials) Option {
+	return func(f *Front) {
+		f.server = server
+		f.client = client
+	}
+}
+
+// New opens the sockets of a balancer.
+func New(settings roles.Balancer, options ...Option) (f *Front, err error) {
+	defer func() { err = eris.Wrap(err, "opening the balancer") }()
+	f = &Front{
+		settings:    settings,
+		incarnation: node.Incarnation(rand.Uint64()),
+		ring:        keys.NewRing(settings.Keys),
+		logger:      zerolog.Nop(),
+		started:     time.Now(),
+	}
+	for _, o := range options {
+		o(f)
+	}
+	f.listener, err = net.Listen("tcp4", settings.Control.String())
+	if err != nil {
+		return nil, err
+	}
+	f.path, err = newPath(f.ring, settings.Fabric, settings.Tunnel)
+	if err != nil {
+		return nil, err
+	}
+	f.member, err = peer.NewMember(f.self(), f.peerOptions()...)
+	return f, err
+}
+
+// self is this balancer's record.
+func (f *Front) self() node.Endpoint {
+	return node.Endpoint{
+		Upstream:    f.settings.Name,
+		Agent:       f.Control(),
+		Incarnation: f.incarnation,
+		Place:       f.settings.Place,
+		Weight:      balancerShare,
+		State:       node.Serving,
+	}
+}
+
+func (f *Front) peerOptions() []peer.Option {
+	o := []peer.Option{
+		peer.WithSeeds(f.settings.Contacts...),
+		peer.OnChange(f.setEndpoints),
+	}
+	if f.client == nil {
+		return append(o, peer.WithInsecure())
+	}
+	return append(o, peer.WithCredentials(f.client, f.server))
+}
+
+// Control is the address for gRPC between the roles.
+func (f *Front) Control() netip.AddrPort {
+	return f.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Fabric is the address for packets of callers.
+func (f *Front) Fabric() netip.AddrPort {
+	return f.path.address()
+}
+
+// SetKeys puts other keys for datagrams in force; open flows go on.
+func (f *Front) SetKeys(k *keys.Set) {
+	f.ring.Swap(k)
+}
+
+// SetFile puts a file in force.
+func (f *Front) SetFile(next file.File) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.file = next
+	f.path.set(f.file, f.endpoints)
+}
+
+func (f *Front) setEndpoints(endpoints []node.Endpoint) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.endpoints = endpoints
+	f.path.set(f.file, f.endpoints)
+}
+
+// Run serves until stop ends. A balancer has no flows to hand over: it tells the
+// others and goes.
+func (f *Front) Run(stop context.Context) (err error) {
+	var w sync.WaitGroup
+	ctx, cancel := context.WithCancel(context.Background())
+	w.Go(func() { f.path.run(ctx) })
+	w.Go(func() { err = f.member.Run(ctx, f.listener) })
+	f.logger.Info().Stringer("fabric", f.Fabric()).Stringer("control", f.Control()).Msg("serving")
+	<-stop.Done()
+	leave, cancelLeave := context.WithTimeout(ctx, leaveTimeout)
+	f.member.Leave(leave)
+	cancelLeave()
+	cancel()
+	w.Wait()
+	f.logger.Info().Msg("stopped")
+	return err
+}
