steer: decide which endpoints a packet is offered to

Openings go by rank over the endpoints that take new flows, with draining ones behind them; other packets go to the owner that was hinted at, or by rank over all endpoints, since an endpoint that drains keeps the place that it had when the flow was opened. An opening drops the hint of the flow before it, and the caller's repetitions (500 ms apart or more) start further down the list.

Checked to fail: hint kept on opening, doubled openings counted, draining left out of continuing packets, expired hints read.

--- /dev/null
+++ b/internal/flow/steer/steer_test.go
@@ -0,0 +1,257 @@
+package steer_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/clementinewing/clementinewing/internal/flow/rank"
+	"github.com/clementinewing/clementinewing/internal/flow/steer"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+	"github.com/clementinewing/clementinewing/internal/world/node"
+	"github.com/clementinewing/clementinewing/internal/world/pact"
+)
+
+var states = map[string]node.State{
+	"joining":  node.Joining,
+	"serving":  node.Serving,
+	"draining": node.Draining,
+	"gone":     node.Gone,
+}
+
+var kinds = map[string]link.Kind{
+	"opening":    link.Opening,
+	"continuing": link.Continuing,
+	"closing":    link.Closing,
+}
+
+// bed is one flow before one steerer.
+type bed struct {
+	steerer   *steer.Steerer
+	endpoints []node.Endpoint
+	key       link.Key
+	now       time.Time
+	decision  steer.Decision
+}
+
+func newBed(count int) *bed {
+	b := &bed{
+		steerer:   steer.New(steer.WithFlows(1000), steer.WithOpenings(1000)),
+		endpoints: make([]node.Endpoint, count),
+		key: link.Key{
+			Caller:     0xc0000201,
+			CallerPort: 40000,
+			Target:     0x0a000001,
+			TargetPort: 80,
+			Protocol:   uint8(pact.TCP),
+		},
+	}
+	random := rand.New(rand.NewPCG(uint64(count), 0))
+	for i := range b.endpoints {
+		b.endpoints[i].Incarnation = node.Incarnation(random.Uint64())
+		b.endpoints[i].Weight = 1
+	}
+	ranked := make([]node.Endpoint, 0, count)
+	for _, i := range rank.List(b.key.Hash(), b.endpoints, nil) {
+		ranked = append(ranked, b.endpoints[i])
+	}
+	b.endpoints = ranked
+	return b
+}
+
+func (b *bed) set(words []string) {
+	for _, w := range words {
+		name, state, _ := strings.Cut(w, "=")
+		b.endpoints[name[0]-'a'].State = states[state]
+	}
+	service := steer.Service{
+		ID:        1,
+		Address:   netip.MustParseAddrPort("10.0.0.1:80"),
+		Protocol:  pact.TCP,
+		Endpoints: slices.Clone(b.endpoints),
+	}
+	datagrams := service
+	datagrams.Protocol = pact.UDP
+	slices.Reverse(service.Endpoints)
+	b.steerer.SetServices(steer.Snapshot{
+		Services: []steer.Service{service, datagrams},
+	})
+}
+
+func (b *bed) decide(protocol pact.Protocol, kind link.Kind, sequence uint32) error {
+	key := b.key
+	key.Protocol = uint8(protocol)
+	batch := []steer.Arrival{
+		{
+			Packet: link.Packet{
+				Key:      key,
+				Kind:     kind,
+				Sequence: sequence,
+			},
+		},
+	}
+	b.steerer.Prepare(batch)
+	return b.steerer.Decide(b.now, &batch[0], &b.decision)
+}
+
+func (b *bed) order() string {
+	var order strings.Builder
+	for _, i := range b.decision.Order {
+		at := slices.IndexFunc(b.endpoints, func(e node.Endpoint) bool {
+			return e.Incarnation == b.decision.Endpoints[i].Incarnation
+		})
+		order.WriteByte(byte('a' + at))
+	}
+	return order.String()
+}
+
+func (b *bed) step(words []string) {
+	at, err := strconv.Atoi(words[0])
+	Expect(err).NotTo(HaveOccurred())
+	b.now = time.UnixMilli(int64(at) + 1_000_000_000)
+	switch words[1] {
+	case "packet":
+		sequence, err := strconv.Atoi(words[3])
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.decide(pact.TCP, kinds[words[2]], uint32(sequence))).To(Succeed())
+		Expect(b.order()).To(Equal(words[4]), strings.Join(words, " "))
+	case "datagram":
+		Expect(b.decide(pact.UDP, link.Opening, 0)).To(Succeed())
+		Expect(b.order()).To(HaveLen(len(words[2])))
+		first := b.order()
+		Expect(b.decide(pact.UDP, link.Opening, 0)).To(Succeed())
+		Expect(b.order()).To(Equal(first))
+	case "hint":
+		Expect(b.steerer.Hint(b.now, b.key, b.endpoints[words[2][0]-'a'].Incarnation)).To(Succeed())
+	case "states":
+		b.set(words[2:])
+	case "nothing":
+		err := b.decide(pact.TCP, link.Opening, 1)
+		Expect(err).To(HaveOccurred())
+		Expect(strings.ReplaceAll(err.Error(), " ", "_")).To(Equal(words[2]))
+	default:
+		Fail("unknown event " + words[1])
+	}
+}
+
+var _ = Describe("Decide", func() {
+	script, err := os.ReadFile("testdata/decisions.txt")
+	if err != nil {
+		panic(err)
+	}
+	for _, part := range strings.Split(string(script), "\nscenario ")[1:] {
+		lines := strings.Split(strings.TrimSpace(part), "\n")
+		head := strings.Fields(lines[0])
+		It(head[0], func() {
+			b := newBed(len(head) - 1)
+			b.set(head[1:])
+			for _, line := range lines[1:] {
+				b.step(strings.Fields(line))
+			}
+		})
+	}
+
+	It("says that no service is at the target", func() {
+		b := newBed(1)
+		Expect(b.decide(pact.TCP, link.Opening, 1)).To(MatchError(steer.ErrNoService))
+		Expect(b.steerer.Hint(b.now, b.key, 1)).To(MatchError(steer.ErrNoService))
+	})
+
+	It("takes no hint at an endpoint that the service does not have", func() {
+		b := newBed(1)
+		b.set([]string{"a=serving"})
+		Expect(b.steerer.Hint(b.now, b.key, b.endpoints[0].Incarnation+1)).To(MatchError(steer.ErrNoOwner))
+	})
+
+	It("keeps draining endpoints in the list of an opening among many", func() {
+		b := newBed(rank.MaxCandidates)
+		words := []string{"a=draining", "b=draining", "c=draining", "d=draining", "e=draining"}
+		for name := 'f'; name < 'a'+rank.MaxCandidates; name++ {
+			words = append(words, string(name)+"=serving")
+		}
+		b.set(words)
+		Expect(b.decide(pact.TCP, link.Opening, 1)).To(Succeed())
+		Expect(b.order()).To(Equal("fghijklmnopabcde"))
+	})
+
+	It("allocates nothing", func() {
+		b := newBed(7)
+		b.set([]string{"a=serving", "b=serving", "c=serving", "d=draining", "e=serving", "f=serving", "g=joining"})
+		Expect(b.steerer.Hint(b.now, b.key, b.endpoints[4].Incarnation)).To(Succeed())
+		batch := make([]steer.Arrival, 2)
+		batch[0].Packet.Key = b.key
+		batch[0].Packet.Kind = link.Continuing
+		batch[1].Packet.Key = b.key
+		batch[1].Packet.Kind = link.Opening
+		Expect(testing.AllocsPerRun(100, func() {
+			b.steerer.Prepare(batch)
+			for i := range batch {
+				if b.steerer.Decide(b.now, &batch[i], &b.decision) != nil {
+					panic("no decision")
+				}
+			}
+		})).To(BeZero())
+	})
+})
+
+// The naive cache is a map of every hint; the shipped one may forget but must
+// not name another owner than the last one hinted at.
+var _ = Describe("owners", func() {
+	It("agree with a map of all hints", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			b := newBed(5)
+			b.now = time.Unix(1000, 0)
+			b.set([]string{"a=serving", "b=serving", "c=serving", "d=serving", "e=serving"})
+			naive := map[uint16]node.Incarnation{}
+			for range 200 {
+				b.key.CallerPort = uint16(rapid.IntRange(1, 3000).Draw(t, "port"))
+				if rapid.Bool().Draw(t, "hint") {
+					owner := b.endpoints[rapid.IntRange(0, 4).Draw(t, "owner")].Incarnation
+					naive[b.key.CallerPort] = owner
+					if err := b.steerer.Hint(b.now, b.key, owner); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if err := b.decide(pact.TCP, link.Continuing, 0); err != nil {
+					t.Fatal(err)
+				}
+				owner, found := naive[b.key.CallerPort]
+				first := b.decision.Endpoints[b.decision.Order[0]].Incarnation
+				if b.decision.Hinted != found || found && first != owner {
+					t.Fatalf("first is %x, want %x (%v)", first, owner, found)
+				}
+			}
+		})
+	})
+
+	It("stay bounded and keep most of what was asked for", func() {
+		b := newBed(2)
+		b.now = time.Unix(1000, 0)
+		b.set([]string{"a=serving", "b=serving"})
+		random := rand.New(rand.NewPCG(1, 0))
+		var callers []uint32
+		for range 1000 {
+			callers = append(callers, random.Uint32())
+			b.key.Caller = callers[len(callers)-1]
+			Expect(b.steerer.Hint(b.now, b.key, b.endpoints[0].Incarnation)).To(Succeed())
+		}
+		kept := 0
+		for _, caller := range callers {
+			b.key.Caller = caller
+			Expect(b.decide(pact.TCP, link.Continuing, 0)).To(Succeed())
+			if b.decision.Hinted {
+				kept++
+			}
+		}
+		Expect(kept).To(BeNumerically(">=", 950))
+	})
+})
