--- a/internal/world/link/packet.go
+++ b/internal/world/link/packet.go
@@ -10,6 +10,7 @@
 	ipv4Bytes    = 20
 	tcpBytes     = 20
 	udpBytes     = 8
+	portsBytes   = 4
 	protocolTCP  = 6
 	protocolUDP  = 17
 	flagFin      = 0x01
@@ -74,6 +75,33 @@
 	return parseTransport(p, b[header:total])
 }
 
+// ParseKey reads the key of the IPv4 packet whose first bytes are in b, which may
+// end anywhere after its ports.
+func ParseKey(b []byte) (k Key, err error) {
+	if len(b) < ipv4Bytes {
+		return k, ErrShort
+	}
+	if b[0]>>4 != 4 {
+		return k, ErrVersion
+	}
+	header := int(b[0]&0x0f) * 4
+	if header < ipv4Bytes || len(b) < header+portsBytes {
+		return k, ErrShort
+	}
+	if binary.BigEndian.Uint16(b[6:])&fragmentMask != 0 {
+		return k, ErrFragment
+	}
+	if b[9] != protocolTCP && b[9] != protocolUDP {
+		return k, ErrProtocol
+	}
+	k.Protocol = b[9]
+	k.Caller = binary.BigEndian.Uint32(b[12:])
+	k.Target = binary.BigEndian.Uint32(b[16:])
+	k.CallerPort = binary.BigEndian.Uint16(b[header:])
+	k.TargetPort = binary.BigEndian.Uint16(b[header+2:])
+	return k, nil
+}
+
 func parseTransport(p Packet, b []byte) (Packet, error) {
 	switch p.Key.Protocol {
 	case protocolTCP:
--- a/internal/world/link/packet_test.go
+++ b/internal/world/link/packet_test.go
@@ -38,6 +38,7 @@
 				return
 			}
 			Expect(names[p.Kind]).To(Equal(fields[1]))
+			Expect(link.ParseKey(raw[:24])).To(Equal(p.Key))
 		})
 	}
 })
@@ -46,6 +47,10 @@
 	f.Add([]byte{0x45})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		p, err := link.Parse(b)
+		k, keyErr := link.ParseKey(b)
+		if err == nil && (keyErr != nil || k != p.Key) {
+			t.Fatalf("key is %v (%v), the packet's %v", k, keyErr, p.Key)
+		}
 		if err == nil && (p.Payload < 0 || p.Payload > len(b)) {
 			t.Fatalf("payload of %d bytes in a packet of %d", p.Payload, len(b))
 		}
