batch: share no port with another process, send single datagrams

A second balancer started on one address by mistake would have been given a part of the first one's packets without an error, since every socket sets SO_REUSEPORT. The address is now bound once without it first.

--- a/internal/edge/batch/batch_test.go
+++ b/internal/edge/batch/batch_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
@@ -98,6 +99,19 @@
 		Eventually(ended, time.Minute).Should(Receive(MatchError(net.ErrClosed)))
 	})
 
+	It("shares no port with sockets opened elsewhere", func() {
+		_, err := batch.ListenMany(open(2)[0].Local(), 2)
+		Expect(err).To(MatchError(syscall.EADDRINUSE))
+	})
+
+	It("sends one datagram at once", func() {
+		near, far := open(1)[0], open(1)[0]
+		Expect(near.WriteTo([]byte("one"), far.Local())).To(Succeed())
+		r := batch.NewReader(far, size, bytes)
+		Expect(r.Read()).To(Equal(1))
+		Expect(string(r.Datagram(0))).To(Equal("one"))
+	})
+
 	It("spreads the senders of one port over its sockets", func() {
 		list := open(4)
 		const senders = 64
--- a/internal/edge/batch/socket.go
+++ b/internal/edge/batch/socket.go
@@ -58,8 +58,12 @@
 }
 
 // ListenMany opens count sockets on one address. Port 0 gives all of them the
-// port that the kernel chose for the first.
+// port that the kernel chose for the first. It fails if the address is in use: a
+// second process would be given a part of the first one's datagrams.
 func ListenMany(local netip.AddrPort, count int) (list []*Socket, err error) {
+	if err = vacant(local); err != nil {
+		return nil, err
+	}
 	for range count {
 		s, err := Listen(local)
 		if err != nil {
@@ -71,6 +75,18 @@
 	return list, nil
 }
 
+// vacant finds out whether a socket that shares no port can be opened.
+func vacant(local netip.AddrPort) (err error) {
+	defer func() {
+		err = eris.Wrapf(err, "listening on %s", local)
+	}()
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(local))
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // CloseAll closes every socket of the list.
 func CloseAll(list []*Socket) (err error) {
 	for _, s := range list {
@@ -91,6 +107,12 @@
 	return s.local
 }
 
+// WriteTo sends one datagram at once.
+func (s *Socket) WriteTo(b []byte, to netip.AddrPort) error {
+	_, err := s.conn.WriteToUDPAddrPort(b, to)
+	return err
+}
+
 // SetReadDeadline lets reads fail with os.ErrDeadlineExceeded from then on; the
 // zero time lifts it.
 func (s *Socket) SetReadDeadline(at time.Time) error {
