--- a/internal/flow/steer/service.go
+++ b/internal/flow/steer/service.go
@@ -22,6 +22,9 @@
 // Snapshot is every service at one moment.
 type Snapshot struct {
 	Services []Service
+	// Silent are the side processes that do not answer this balancer: they are
+	// offered new flows after all others.
+	Silent []netip.AddrPort
 }
 
 // target is where callers reach a service: address, port and protocol in one
@@ -33,16 +36,17 @@
 }
 
 // group is a service prepared for decisions: endpoints that take new flows come
-// first, draining ones behind them, endpoints that are gone are left out.
+// first, draining and silent ones behind them, endpoints that are gone are left
+// out.
 type group struct {
 	id        pact.ServiceID
 	endpoints []node.Endpoint
 	briefs    []uint32
 	// takers is how many of the endpoints take new flows.
-	takers   int
-	taking   *rank.Table
-	draining *rank.Table
-	all      *rank.Table
+	takers int
+	taking *rank.Table
+	others *rank.Table
+	all    *rank.Table
 }
 
 // services is a snapshot prepared for decisions.
@@ -55,7 +59,7 @@
 		if !service.Address.Addr().Is4() {
 			continue
 		}
-		prepared[targetOf(service)] = newGroup(service)
+		prepared[targetOf(service)] = newGroup(service, s.Silent)
 	}
 	return prepared
 }
@@ -65,19 +69,19 @@
 	return newTarget(binary.BigEndian.Uint32(address[:]), s.Address.Port(), uint8(s.Protocol))
 }
 
-func newGroup(s *Service) *group {
+func newGroup(s *Service, silent []netip.AddrPort) *group {
 	g := &group{
 		id:        s.ID,
 		endpoints: make([]node.Endpoint, 0, len(s.Endpoints)),
 	}
 	for i := range s.Endpoints {
-		if takesNew(&s.Endpoints[i]) {
+		if takesNew(&s.Endpoints[i], silent) {
 			g.endpoints = append(g.endpoints, s.Endpoints[i])
 		}
 	}
 	g.takers = len(g.endpoints)
 	for i := range s.Endpoints {
-		if s.Endpoints[i].State == node.Draining {
+		if holdsFlows(&s.Endpoints[i]) && !takesNew(&s.Endpoints[i], silent) {
 			g.endpoints = append(g.endpoints, s.Endpoints[i])
 		}
 	}
@@ -85,13 +89,20 @@
 		g.briefs = append(g.briefs, briefOf(g.endpoints[i].Incarnation))
 	}
 	g.taking = rank.NewTable(g.endpoints[:g.takers])
-	g.draining = rank.NewTable(g.endpoints[g.takers:])
+	g.others = rank.NewTable(g.endpoints[g.takers:])
 	g.all = rank.NewTable(g.endpoints)
 	return g
 }
 
-func takesNew(e *node.Endpoint) bool {
-	return e.State == node.Joining || e.State == node.Serving
+func holdsFlows(e *node.Endpoint) bool {
+	return e.State == node.Joining || e.State == node.Serving || e.State == node.Draining
+}
+
+func takesNew(e *node.Endpoint, silent []netip.AddrPort) bool {
+	if e.State != node.Joining && e.State != node.Serving {
+		return false
+	}
+	return !slices.Contains(silent, e.Agent)
 }
 
 func (s services) find(k link.Key) *group {
--- a/internal/flow/steer/steer.go
+++ b/internal/flow/steer/steer.go
@@ -28,9 +28,9 @@
 	// the resolution of that.
 	ownerKeep = 10 * time.Minute
 	ownerTick = time.Second
-	// drainingRoom is how many places of an opening's list are kept for
-	// draining endpoints, which may hold the flow half open.
-	drainingRoom = 4
+	// otherRoom is how many places of an opening's list are kept for endpoints
+	// that are draining or silent, which may hold the flow half open.
+	otherRoom = 4
 )
 
 // Errors of Decide and Hint.
@@ -172,20 +172,21 @@
 }
 
 // open orders the endpoints for a new flow: those that take it by rank, from the
-// one that the caller's repetitions have reached, and then the draining ones.
+// one that the caller's repetitions have reached, and then the draining and
+// silent ones.
 func (g *group) open(hash uint64, d *Decision) {
 	d.Order = g.taking.List(hash, d.Order)
-	drainers := len(g.endpoints) - g.takers
-	room := rank.MaxCandidates - min(drainers, drainingRoom)
+	others := len(g.endpoints) - g.takers
+	room := rank.MaxCandidates - min(others, otherRoom)
 	if len(d.Order) > room {
 		d.Order = d.Order[:room]
 	}
 	rotate(d.Order, d.Repeat)
-	if drainers == 0 {
+	if others == 0 {
 		return
 	}
 	takers := len(d.Order)
-	d.Order = g.draining.List(hash, d.Order)
+	d.Order = g.others.List(hash, d.Order)
 	for i := takers; i < len(d.Order); i++ {
 		d.Order[i] += g.takers
 	}
--- a/internal/flow/steer/steer_test.go
+++ b/internal/flow/steer/steer_test.go
@@ -38,6 +38,7 @@
 type bed struct {
 	steerer   *steer.Steerer
 	endpoints []node.Endpoint
+	silent    []netip.AddrPort
 	key       link.Key
 	now       time.Time
 	decision  steer.Decision
@@ -59,6 +60,7 @@
 	for i := range b.endpoints {
 		b.endpoints[i].Incarnation = node.Incarnation(random.Uint64())
 		b.endpoints[i].Weight = 1
+		b.endpoints[i].Agent = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, 1}), uint16(i+1))
 	}
 	ranked := make([]node.Endpoint, 0, count)
 	for _, i := range rank.List(b.key.Hash(), b.endpoints, nil) {
@@ -84,6 +86,7 @@
 	slices.Reverse(service.Endpoints)
 	b.steerer.SetServices(steer.Snapshot{
 		Services: []steer.Service{service, datagrams},
+		Silent:   b.silent,
 	})
 }
 
@@ -132,6 +135,12 @@
 		Expect(b.order()).To(Equal(first))
 	case "hint":
 		Expect(b.steerer.Hint(b.now, b.key, b.endpoints[words[2][0]-'a'].Incarnation)).To(Succeed())
+	case "silent":
+		b.silent = nil
+		for _, name := range strings.TrimSuffix(words[2], "none") {
+			b.silent = append(b.silent, b.endpoints[name-'a'].Agent)
+		}
+		b.set(nil)
 	case "states":
 		b.set(words[2:])
 	case "nothing":
