admit: lower limits softly while another endpoint may take the opening

Cause: a cold start, a latency rule or a report that keeps slots closed also kept them closed for openings that every other endpoint had refused. Change: refusals by the upstream set a hard limit; ramp, latency and reports lower only the limit for openings that may still go elsewhere.

--- a/internal/bench/load/shape.go
+++ b/internal/bench/load/shape.go
@@ -62,6 +62,8 @@
 	SaysFull
 	// Slow upstreams take slowBy times as long for the same work.
 	Slow
+	// Slows upstreams become slow as the measurement begins.
+	Slows
 	// Sheds upstreams turn connections away above half of their slots.
 	Sheds
 )
@@ -72,6 +74,7 @@
 	SaysIdle: "says_idle",
 	SaysFull: "says_full",
 	Slow:     "slow",
+	Slows:    "slows",
 	Sheds:    "sheds",
 }
 
--- a/internal/bench/load/upstream.go
+++ b/internal/bench/load/upstream.go
@@ -93,6 +93,11 @@
 	switch u.fault {
 	case Slow:
 		return time.Duration(slowBy * float64(span))
+	case Slows:
+		if u.world.clock.Now().Before(u.world.meter.from) {
+			return span
+		}
+		return time.Duration(slowBy * float64(span))
 	case Cold:
 		left := 1 - float64(u.world.clock.Now().Sub(u.joined))/float64(coldFor)
 		return time.Duration((1 + (coldBy-1)*max(0, left)) * float64(span))
--- a/internal/flow/admit/count.go
+++ b/internal/flow/admit/count.go
@@ -36,7 +36,7 @@
 
 // Answered feeds the adaptive limit with an answer to work asked for at asked.
 func (g *Gate) Answered(now, asked time.Time) {
-	g.adaptive.Answered(now, asked, g.busy)
+	g.adaptive.Answered(now, asked)
 }
 
 // Reported feeds the adaptive limit with the slots that the upstream says it
@@ -74,8 +74,15 @@
 	return g.draining && (g.flows == 0 || past(now, g.drainedAt))
 }
 
-// Slots is the limit on work in hand at now: the least of the accepted file's,
-// the cold start's and the adaptive limit.
+// hard is the limit for openings that no other endpoint takes: a slot that a
+// cold start, latency or a report would keep free is used before an opening is
+// refused.
+func (g *Gate) hard(now time.Time) int {
+	return min(g.limits.Slots, g.adaptive.Hard(now))
+}
+
+// Slots is the limit on work in hand at now for openings that others may take:
+// the least of the accepted file's, the cold start's and the adaptive limit.
 func (g *Gate) Slots(now time.Time) int {
 	return min(g.limits.Slots, g.ramp.Slots(now, g.limits.Slots), g.adaptive.Slots(now))
 }
--- a/internal/flow/admit/gate.go
+++ b/internal/flow/admit/gate.go
@@ -162,15 +162,25 @@
 	if !a.Held {
 		used += len(g.line)
 	}
-	if used >= g.Slots(now) {
+	slots := g.Slots(now)
+	if a.settled() {
+		slots = g.hard(now)
+	}
+	if used >= slots {
 		return g.fullReason(now, used)
 	}
-	if !a.Held && !a.Last && a.Pass == 0 && g.policy.HandsOn(used, g.Slots(now), a.Position) {
+	if !a.settled() && g.policy.HandsOn(used, slots, a.Position) {
 		return Threshold
 	}
 	return Accepted
 }
 
+// settled tells that every other candidate has refused the opening, so that
+// only this endpoint's hard limits count.
+func (a Ask) settled() bool {
+	return a.Held || a.Last || a.Pass > 0
+}
+
 // settle turns the reason into what becomes of the opening.
 func (g *Gate) settle(now time.Time, a Ask, reason Reason) Answer {
 	switch {
@@ -219,10 +229,10 @@
 	if used >= g.limits.Slots {
 		return SlotsFull
 	}
-	if g.ramp.Slots(now, g.limits.Slots) <= g.adaptive.Slots(now) {
-		return ColdStart
+	if g.adaptive.Slots(now) < g.ramp.Slots(now, g.limits.Slots) {
+		return Shedding
 	}
-	return Shedding
+	return ColdStart
 }
 
 func (g *Gate) count(a Answer) {
--- a/internal/flow/admit/line.go
+++ b/internal/flow/admit/line.go
@@ -29,7 +29,7 @@
 			return g.leave(i), true
 		}
 	}
-	if len(g.line) > 0 && (g.draining || g.busy < g.Slots(now)) {
+	if len(g.line) > 0 && (g.draining || g.busy < g.hard(now)) {
 		return g.leave(0), true
 	}
 	return w, false
--- a/internal/flow/limit/adapt.go
+++ b/internal/flow/limit/adapt.go
@@ -18,14 +18,14 @@
 	// growEvery is the time without a cut after which the limit grows by one.
 	growEvery = 500 * time.Millisecond
 	// slowFactor is how many times its long-term mean the recent latency may
-	// be before the limit is cut.
-	slowFactor = 3.0
+	// be before the limit is lowered.
+	slowFactor = 2.0
 	// recentShare and usualShare weigh one new sample in the recent and in the
 	// long-term mean latency.
-	recentShare = 0.1
-	usualShare  = 0.002
+	recentShare = 0.05
+	usualShare  = 0.0002
 	// leastSamples is the number of answers before latency is judged.
-	leastSamples = 50
+	leastSamples = 100
 	// reportFloor is the share of the limit below which a report alone, not
 	// borne out by refusals or latency, lowers nothing.
 	reportFloor = 0.5
@@ -34,10 +34,10 @@
 )
 
 // Adaptive is a limit on work in hand that follows the upstream's own refusals
-// and latency: it is cut by a share, at most once in cutEvery, and grows by one
-// slot each growEvery until it is back at the ceiling. The latency rule
-// compares a recent with a long-term mean, as in the gradient limits of
-// concurrency-limits (Netflix 2018).
+// and latency. A refusal cuts it by a share, at most once in cutEvery; it grows
+// by one slot each growEvery until it is back at the ceiling. A recent latency
+// far above the long-term mean lowers it in proportion, as in the gradient
+// limits of concurrency-limits (Netflix 2018), and for as long as that lasts.
 type Adaptive struct {
 	ceiling  int
 	current  int
@@ -68,11 +68,18 @@
 	a.current = min(a.current, ceiling)
 }
 
-// Slots is the limit now. It is never below one slot, so that an upstream that
-// sheds everything is still tried, unless the ceiling itself is zero.
-func (a *Adaptive) Slots(now time.Time) int {
+// Hard is the limit that the upstream's own refusals set. It is never below one
+// slot, so that an upstream that sheds everything is still tried, unless the
+// ceiling itself is zero.
+func (a *Adaptive) Hard(now time.Time) int {
 	a.grow(now)
-	slots := a.current
+	return min(a.current, a.ceiling)
+}
+
+// Slots is the limit for openings that another endpoint may take: the hard one,
+// lowered by latency and reports. It is at least one slot, as Hard is.
+func (a *Adaptive) Slots(now time.Time) int {
+	slots := min(a.Hard(now), a.paced())
 	if now.Before(a.reportTo) {
 		floor := int(math.Ceil(reportFloor * float64(a.ceiling)))
 		slots = min(slots, max(a.reported, floor))
@@ -87,8 +94,7 @@
 }
 
 // Answered notes an answer to work that was asked for at asked.
-func (a *Adaptive) Answered(now, asked time.Time, busy int) {
-	a.grow(now)
+func (a *Adaptive) Answered(now, asked time.Time) {
 	seconds := now.Sub(asked).Seconds()
 	a.samples++
 	if a.samples == 1 {
@@ -97,9 +103,15 @@
 	}
 	a.recent += recentShare * (seconds - a.recent)
 	a.usual += max(usualShare, 1/float64(a.samples)) * (seconds - a.usual)
-	if a.samples >= leastSamples && a.recent > slowFactor*a.usual {
-		a.cut(now, busy)
+}
+
+// paced is the limit by latency: the ceiling while the recent mean is usual,
+// less in proportion above slowFactor times the long-term mean.
+func (a *Adaptive) paced() int {
+	if a.samples < leastSamples || a.recent <= slowFactor*a.usual {
+		return a.ceiling
 	}
+	return int(float64(a.ceiling) * slowFactor * a.usual / a.recent)
 }
 
 // Reported notes what the upstream says it can take, in slots. It may lower the
