--- a/internal/board/file/file.go
+++ b/internal/board/file/file.go
@@ -62,8 +62,8 @@
 
 // Operator may apply files.
 type Operator struct {
-	Name string
-	Key  ed25519.PublicKey
+	Name string            `json:"name"`
+	Key  ed25519.PublicKey `json:"key"`
 }
 
 // Service is one service with what the file sets for it.
--- a/internal/board/file/piece.go
+++ b/internal/board/file/piece.go
@@ -20,8 +20,9 @@
 	sectionsPerPiece = 64
 )
 
-// Errors of Join.
+// Errors of what is read back from the store or from a peer.
 var (
+	ErrHash     = eris.New("a content hash has 64 hex digits")
 	ErrManifest = eris.New("the manifest is malformed")
 	ErrPiece    = eris.New("a piece does not match its hash")
 )
@@ -38,6 +39,21 @@
 	return hex.EncodeToString(h[:])
 }
 
+// MarshalText implements encoding.TextMarshaler.
+func (h Hash) MarshalText() ([]byte, error) {
+	return hex.AppendEncode(nil, h[:]), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (h *Hash) UnmarshalText(text []byte) (err error) {
+	raw, err := hex.DecodeString(string(text))
+	if err != nil || len(raw) != len(h) {
+		return ErrHash
+	}
+	*h = Hash(raw)
+	return nil
+}
+
 // Sum hashes one piece.
 func Sum(piece []byte) Hash {
 	return sha256.Sum256(piece)
--- a/internal/fake/store/memory.go
+++ b/internal/fake/store/memory.go
@@ -3,6 +3,7 @@
 package store
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -42,6 +43,17 @@
 	}
 }
 
+// Clone copies the entries and leases, but neither watches nor counts.
+func (m *Memory) Clone() *Memory {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return &Memory{
+		version: m.version,
+		entries: maps.Clone(m.entries),
+		leases:  maps.Clone(m.leases),
+	}
+}
+
 // Counts reads the budget counter.
 func (m *Memory) Counts() Counts {
 	m.lock.Lock()
