flow: keep handshakes over a pause, reach owners that peers can't

Found by the fault matrix (pairs of faults at every step of a flow), each with the script that now names it: - A side process that stood still for 20 s cut its half open flows when it woke, before it read what their callers had sent meanwhile; the callers were reset. A gap of more than 1 s between ticks now gives handshakes and datagram flows their time anew (pause.txt). - The same process took openings that had waited in its socket, long after the callers had been served elsewhere. For 0.5 s after such a gap openings are dropped; a fresh one is repeated within a second. - An owner that balancers reach and its peers don't was never found: the first candidate is not the owner, and its way there is silent. Packets for a silent candidate now go in turn straight and by way of the balancer (Pass.Relay). - An owner off the first place told the balancer only with the first packet that found it; now with the accepted opening. - The handshake had 10 s: too short for three retransmissions that met a silent way. Now 30 s; the cost is a connection (not a slot) of that many seconds for a caller that never completes.

--- /dev/null
+++ b/internal/fake/stack/caller.go
@@ -0,0 +1,270 @@
+package stack
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/world/link"
+)
+
+// Outcome is what a caller has seen of its flow.
+type Outcome uint8
+
+const (
+	// Waiting callers are not done.
+	Waiting Outcome = iota
+	// Finished callers got every answer whole and closed.
+	Finished
+	// Refused callers were told by a reset of their opening that it was not run.
+	Refused
+	// Broken callers lost a flow that they had opened.
+	Broken
+	// Unanswered callers gave up opening.
+	Unanswered
+)
+
+// Plan is what a caller wants.
+type Plan struct {
+	Key link.Key
+	// First is the number of the first request; each has a number of its own.
+	First uint64
+	// Requests is how many requests follow on each other, Parts how many parts
+	// the answer to each has.
+	Requests int
+	Parts    int
+	// Pause lies between an answer and the next request.
+	Pause time.Duration
+}
+
+// Caller is the caller's end of one flow.
+type Caller struct {
+	Plan    Plan
+	Outcome Outcome
+	// Foreign counts parts of other answers that it was given.
+	Foreign int
+	// Opened is when it completed the handshake, Ended when its outcome was known.
+	Opened time.Time
+	Ended  time.Time
+
+	timers      Timers
+	send        func(Segment)
+	sender      sender
+	initial     uint32
+	expected    uint32
+	asked       int
+	parts       int
+	established bool
+	closing     bool
+	heard       time.Time
+	unanswered  int
+	ended       func(*Caller)
+}
+
+// NewCaller starts a flow by sending its opening.
+func NewCaller(p Plan, t Timers, r *rand.Rand, send func(Segment), ended func(*Caller)) *Caller {
+	c := &Caller{
+		Plan:    p,
+		timers:  t,
+		send:    send,
+		initial: r.Uint32(),
+		ended:   ended,
+	}
+	c.sender = sender{
+		timers: t,
+		send:   send,
+		failed: c.gaveUp,
+		next:   c.initial,
+	}
+	opening := c.segment()
+	opening.Kind = link.Opening
+	opening.Flags = flagSyn
+	c.sender.push(opening)
+	return c
+}
+
+// Alive tells whether the caller still wants anything.
+func (c *Caller) Alive() bool {
+	return c.Outcome == Waiting
+}
+
+// Established tells whether the handshake is complete.
+func (c *Caller) Established() bool {
+	return c.established
+}
+
+func (c *Caller) segment() Segment {
+	return Segment{
+		Packet: link.Packet{
+			Key:            c.Plan.Key,
+			Kind:           link.Continuing,
+			Sequence:       c.sender.next,
+			Acknowledgment: c.expected,
+			Flags:          flagAck,
+		},
+	}
+}
+
+// Receive takes a packet from any endpoint.
+func (c *Caller) Receive(g Segment) {
+	switch {
+	case !c.Alive():
+		c.receiveClosed(g)
+	case !c.established:
+		c.receiveOpening(g)
+	case g.IsReset():
+		if g.Sequence == c.expected {
+			c.finish(Broken)
+		}
+	case g.Flags&flagSyn != 0:
+		c.send(c.segment())
+	default:
+		c.receiveOpen(g)
+	}
+}
+
+// receiveClosed answers as a host without the flow: a reset to anything but one. A
+// finished caller still acknowledges a repeated end.
+func (c *Caller) receiveClosed(g Segment) {
+	switch {
+	case g.IsReset():
+	case c.Outcome != Finished:
+		c.reset(g.Acknowledgment)
+	case g.Flags&flagFin != 0:
+		c.send(c.segment())
+	}
+}
+
+func (c *Caller) reset(sequence uint32) {
+	g := c.segment()
+	g.Kind = link.Closing
+	g.Flags = flagReset
+	g.Sequence = sequence
+	g.Acknowledgment = 0
+	c.send(g)
+}
+
+func (c *Caller) receiveOpening(g Segment) {
+	acceptable := g.HasAck() && g.Acknowledgment == c.initial+1
+	switch {
+	case g.IsReset():
+		if acceptable {
+			c.finish(Refused)
+		}
+	case g.HasAck() && !acceptable:
+		c.reset(g.Acknowledgment)
+	case g.Flags&flagSyn != 0:
+		c.established = true
+		c.Opened = c.timers.Now()
+		c.expected = g.Sequence + 1
+		c.sender.acked(g.Acknowledgment)
+		c.send(c.segment())
+		c.heard = c.Opened
+		c.timers.After(keepaliveEvery, c.keepalive)
+		c.ask()
+	}
+}
+
+// keepalive asks a quiet endpoint for a sign of life (RFC 9293, section 3.8.4).
+func (c *Caller) keepalive() {
+	if !c.Alive() {
+		return
+	}
+	if c.timers.Now().Sub(c.heard) >= keepaliveEvery {
+		if c.unanswered == keepalivesMost {
+			c.finish(Broken)
+			return
+		}
+		c.unanswered++
+		g := c.segment()
+		g.Sequence--
+		c.send(g)
+	}
+	c.timers.After(keepaliveEvery, c.keepalive)
+}
+
+func (c *Caller) receiveOpen(g Segment) {
+	c.heard = c.timers.Now()
+	c.unanswered = 0
+	if g.HasAck() && !after(g.Acknowledgment, c.sender.next) {
+		c.sender.acked(g.Acknowledgment)
+	}
+	if g.Payload == 0 && g.Flags&flagFin == 0 {
+		if g.Sequence != c.expected {
+			c.send(c.segment())
+		}
+		return
+	}
+	if g.Sequence != c.expected {
+		c.send(c.segment())
+		return
+	}
+	c.take(g)
+}
+
+// take takes the next part of the answer, or the end of the flow.
+func (c *Caller) take(g Segment) {
+	if g.Payload > 0 {
+		c.expected += uint32(g.Payload)
+		if g.Body.Request != c.Plan.First+uint64(c.asked-1) || g.Body.Part != c.parts {
+			c.Foreign++
+		}
+		c.parts++
+	}
+	if g.Flags&flagFin != 0 {
+		c.expected++
+	}
+	c.send(c.segment())
+	switch {
+	case g.Flags&flagFin != 0 && c.closing:
+		c.finish(Finished)
+	case g.Flags&flagFin != 0:
+		c.finish(Broken)
+	case c.parts == c.Plan.Parts:
+		c.timers.After(c.Plan.Pause, c.ask)
+	}
+}
+
+// ask sends the next request, or closes after the last.
+func (c *Caller) ask() {
+	if !c.Alive() {
+		return
+	}
+	g := c.segment()
+	if c.asked == c.Plan.Requests {
+		c.closing = true
+		g.Kind = link.Closing
+		g.Flags |= flagFin
+		c.sender.push(g)
+		return
+	}
+	g.Payload = PartBytes
+	g.Body = Body{
+		Request: c.Plan.First + uint64(c.asked),
+	}
+	c.asked++
+	c.parts = 0
+	c.sender.push(g)
+}
+
+func (c *Caller) gaveUp() {
+	if !c.established {
+		c.finish(Unanswered)
+		return
+	}
+	c.finish(Broken)
+}
+
+// Vanish makes the caller's host forget everything.
+func (c *Caller) Vanish() {
+	c.finish(Broken)
+}
+
+func (c *Caller) finish(o Outcome) {
+	if !c.Alive() {
+		return
+	}
+	c.Outcome = o
+	c.Ended = c.timers.Now()
+	c.sender.stop()
+	c.ended(c)
+}
--- a/internal/flow/owner/action.go
+++ b/internal/flow/owner/action.go
@@ -45,7 +45,10 @@
 	Position int
 	Denied   uint16
 	// Round goes into the message, see Arrived.
-	Round  uint8
+	Round uint8
+	// Relay asks to send it to the message's balancer, which sends it on to
+	// Position unchanged: from here that candidate does not answer.
+	Relay  bool
 	Reason Reason
 }
 
--- a/internal/flow/owner/admit.go
+++ b/internal/flow/owner/admit.go
@@ -78,6 +78,9 @@
 	if t.leaving.draining {
 		return t.handOn(w, key, Draining, out)
 	}
+	if now.Before(t.holdFor) {
+		return t.drop(Woken, out)
+	}
 	deadline := now.Add(t.opening)
 	answer := t.gate.Ask(now, w.ask(deadline, false))
 	switch answer.Next {
@@ -212,10 +215,11 @@
 		t.move(f, half)
 		f.deadline = now.Add(t.handshake)
 	}
-	return append(out, Accept{
+	out = append(out, Accept{
 		Key:    f.key,
 		Serial: f.serial,
 	})
+	return t.hint(now, f, f.walk.balancer, f.walk.denied, out)
 }
 
 // failed hands on the kept opening of a flow whose upstream did not take it.
--- a/internal/flow/owner/arrive.go
+++ b/internal/flow/owner/arrive.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/world/link"
@@ -80,17 +81,20 @@
 	})
 }
 
-// deliver gives the packet to the stack, and the balancer a hint if it had to be
-// handed on to get here.
+// deliver gives the packet to the stack.
 func (t *Table) deliver(now time.Time, e *Arrived, f *flow, out []Action) []Action {
-	out = append(out, f.deliver)
-	if e.Denied == 0 || !f.hint(now, e.Balancer) {
+	return t.hint(now, f, e.Balancer, e.Denied, append(out, f.deliver))
+}
+
+// hint tells the balancer of a packet that had to be handed on who owns the flow.
+func (t *Table) hint(now time.Time, f *flow, b netip.AddrPort, denied uint16, out []Action) []Action {
+	if denied == 0 || !f.mayHint(now, b) {
 		return out
 	}
 	t.counts.Hints++
 	return append(out, Hint{
 		Key:      f.key,
-		Balancer: e.Balancer,
+		Balancer: b,
 	})
 }
 
@@ -104,8 +108,7 @@
 		return t.pass(w, e.Packet.Key, w.next(heard), why, out)
 	}
 	if rest != 0 {
-		t.turn++
-		return t.pass(w, e.Packet.Key, pick(rest, t.turn), SilentCandidate, out)
+		return t.passSilent(w, e, rest, out)
 	}
 	if e.Packet.IsReset() {
 		return t.drop(NoOwner, out)
@@ -119,15 +122,30 @@
 	return t.reset(e.Packet.Key, NoOwner, out)
 }
 
+// passSilent hands a packet to one of the candidates that are silent from here,
+// each in its turn, straight and by way of the balancer: only the way from here to
+// there may be broken.
+func (t *Table) passSilent(w walk, e *Arrived, rest uint16, out []Action) []Action {
+	t.turn++
+	t.counts.Reasons[SilentCandidate]++
+	to := w.to(e.Packet.Key, pick(rest, t.turn/2), SilentCandidate)
+	to.Relay = t.turn%2 == 0 && e.Balancer.IsValid()
+	return append(out, to)
+}
+
 // pass hands a packet to another candidate.
 func (t *Table) pass(w walk, key link.Key, to int, why Reason, out []Action) []Action {
 	t.counts.Reasons[why]++
-	return append(out, Pass{
+	return append(out, w.to(key, to, why))
+}
+
+func (w walk) to(key link.Key, position int, why Reason) Pass {
+	return Pass{
 		Key:      key,
 		Serial:   w.serial,
-		Position: to,
+		Position: position,
 		Denied:   w.denied | w.own(),
 		Round:    w.round,
 		Reason:   why,
-	})
+	}
 }
--- a/internal/flow/owner/flow.go
+++ b/internal/flow/owner/flow.go
@@ -150,9 +150,9 @@
 	return int32(a-b) > 0
 }
 
-// hint tells whether a balancer may be told now: once a pause for each of 64
+// mayHint tells whether a balancer may be told now: once a pause for each of 64
 // groups of balancers.
-func (f *flow) hint(now time.Time, balancer netip.AddrPort) bool {
+func (f *flow) mayHint(now time.Time, balancer netip.AddrPort) bool {
 	if !balancer.IsValid() {
 		return false
 	}
--- a/internal/flow/owner/leave.go
+++ b/internal/flow/owner/leave.go
@@ -83,9 +83,26 @@
 	return admit.Served
 }
 
+// wake makes good for the time in which the process stood still: callers have not
+// had it to complete a handshake or to send, and openings that waited for it have
+// long been repeated elsewhere.
+func (t *Table) wake(now time.Time) {
+	t.ticked = now
+	t.holdFor = now.Add(wakeHold)
+	for _, f := range t.order {
+		switch {
+		case f.state == half:
+			f.deadline = now.Add(t.handshake)
+		case f.state == open && f.isDatagram():
+			f.deadline = now.Add(t.idle)
+		}
+	}
+}
+
 // tick lets deadlines lapse. It goes backwards because a flow that is removed is
 // replaced by the last one.
 func (t *Table) tick(now time.Time, out []Action) []Action {
+	t.ticked = now
 	cut := t.leaving.draining && !now.Before(t.leaving.deadline)
 	for i := len(t.order) - 1; i >= 0; i-- {
 		if i >= len(t.order) {
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -17,7 +17,7 @@
 // Defaults of a Table.
 const (
 	defaultOpening   = 3 * time.Second
-	defaultHandshake = 10 * time.Second
+	defaultHandshake = 30 * time.Second
 	defaultLinger    = 30 * time.Second
 	defaultIdle      = 60 * time.Second
 	defaultGrace     = 5 * time.Second
@@ -25,6 +25,11 @@
 	defaultOrphans   = 4096
 	defaultFlows     = 2000
 	hintPause        = time.Second
+	// pausedAfter is the time between two ticks after which the process must
+	// have stood still, wakeHold how long it then takes no openings: what it
+	// reads first may have come long ago.
+	pausedAfter = time.Second
+	wakeHold    = 500 * time.Millisecond
 )
 
 // Gate admits flows by the load of the upstream; *admit.Gate is one.
@@ -60,6 +65,8 @@
 	turn    int
 	orphans orphans
 	leaving leaving
+	ticked  time.Time
+	holdFor time.Time
 	counts  Counts
 }
 
@@ -141,8 +148,13 @@
 	return t
 }
 
-// Step takes one event and appends to out what has to be done, in this order.
+// Step takes one event and appends to out what has to be done, in this order. A
+// Tick has to come at least twice a second; a longer gap means that the process
+// stood still.
 func (t *Table) Step(now time.Time, e Event, out []Action) []Action {
+	if !t.ticked.IsZero() && now.Sub(t.ticked) > pausedAfter {
+		t.wake(now)
+	}
 	switch e := e.(type) {
 	case Arrived:
 		return t.arrived(now, &e, out)
--- a/internal/flow/owner/reason.go
+++ b/internal/flow/owner/reason.go
@@ -62,6 +62,8 @@
 	Cancelled
 	// IdleExpired aborts a datagram flow that carried nothing for too long.
 	IdleExpired
+	// Woken drops an opening that may have come while the process stood still.
+	Woken
 	// Stale aborts a connection to the upstream that nobody waits for.
 	Stale
 
@@ -95,6 +97,7 @@
 	DrainDeadline:    "drain_deadline",
 	Cancelled:        "cancelled",
 	IdleExpired:      "idle_expired",
+	Woken:            "woken",
 	Stale:            "stale",
 }
 
--- a/internal/flow/owner/script_test.go
+++ b/internal/flow/owner/script_test.go
@@ -259,6 +259,9 @@
 	case owner.Deliver:
 		return "deliver"
 	case owner.Pass:
+		if a.Relay {
+			return fmt.Sprintf("relay %d denied=%s round=%d %v", a.Position, bits(a.Denied), a.Round, a.Reason)
+		}
 		return fmt.Sprintf("pass %d denied=%s round=%d %v", a.Position, bits(a.Denied), a.Round, a.Reason)
 	case owner.Refuse:
 		return fmt.Sprintf("refuse %v", a.Reason)
--- a/internal/flow/owner/walk.go
+++ b/internal/flow/owner/walk.go
@@ -1,6 +1,9 @@
 package owner
 
-import "math/bits"
+import (
+	"math/bits"
+	"net/netip"
+)
 
 // maxCandidates is the length of a list that may have been cut.
 const maxCandidates = 16
@@ -17,6 +20,8 @@
 	silent uint16
 	// serial is that of the flow whose opening was kept, else zero.
 	serial uint64
+	// balancer is where the packet came from.
+	balancer netip.AddrPort
 }
 
 func walkOf(e *Arrived) walk {
@@ -27,6 +32,7 @@
 		denied:     e.Denied,
 		gone:       e.Gone,
 		silent:     e.Silent,
+		balancer:   e.Balancer,
 	}
 }
 
