--- a/internal/world/link/packet.go
+++ b/internal/world/link/packet.go
@@ -37,6 +37,8 @@
 	Flags          uint8
 	// Payload is the number of bytes after the transport header.
 	Payload int
+	// Total is the length of the packet, without what may follow it.
+	Total int
 }
 
 // HasAck tells whether the packet acknowledges bytes.
@@ -65,6 +67,7 @@
 	if binary.BigEndian.Uint16(b[6:])&fragmentMask != 0 {
 		return p, ErrFragment
 	}
+	p.Total = total
 	p.Key.Protocol = b[9]
 	p.Key.Caller = binary.BigEndian.Uint32(b[12:])
 	p.Key.Target = binary.BigEndian.Uint32(b[16:])
@@ -121,3 +124,21 @@
 		return Continuing
 	}
 }
+
+// Length is the number of sequence numbers that a TCP segment takes: its payload
+// and one each for SYN and FIN.
+func (p Packet) Length() uint32 {
+	length := uint32(p.Payload)
+	if p.Flags&flagSyn != 0 {
+		length++
+	}
+	if p.Flags&flagFin != 0 {
+		length++
+	}
+	return length
+}
+
+// IsAnswer tells whether the packet is the second one of a TCP handshake.
+func (p Packet) IsAnswer() bool {
+	return p.Flags&(flagSyn|flagAck) == flagSyn|flagAck
+}
