fake: play every fault at every step of a flow, and in pairs

Cause: the promises have to hold whatever fails and whenever it does.

Change: package stack is a small TCP for both ends (handshake, retransmission, resets and challenges), agent a side process with a fake upstream, fleet puts them, the shipped balancer decision and a seeded link around one fake clock.

--- /dev/null
+++ b/internal/fake/fleet/balancer.go
@@ -0,0 +1,149 @@
+package fleet
+
+import (
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/fake/agent"
+	"github.com/clementinewing/clementinewing/internal/fake/stack"
+	"github.com/clementinewing/clementinewing/internal/flow/probe"
+	"github.com/clementinewing/clementinewing/internal/flow/steer"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+	"github.com/clementinewing/clementinewing/internal/world/node"
+	"github.com/clementinewing/clementinewing/internal/world/pact"
+)
+
+const (
+	tickEvery    = 50 * time.Millisecond
+	steerEntries = 512
+)
+
+// Balancer is a stand-in for an entry VM: the shipped decisions and its view.
+type Balancer struct {
+	Name    string
+	Address netip.AddrPort
+	Dead    bool
+
+	fleet    *Fleet
+	steer    *steer.Steerer
+	peers    *probe.Peers
+	view     view
+	decision steer.Decision
+}
+
+// view is what a process knows of the endpoints, by address.
+type view map[netip.AddrPort]node.Endpoint
+
+// AddBalancer starts a balancer that knows what is true now.
+func (f *Fleet) AddBalancer() *Balancer {
+	n := len(f.Balancers)
+	b := &Balancer{
+		Name:    "balancer" + strconv.Itoa(n),
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 4000),
+		fleet:   f,
+		steer: steer.New(
+			steer.WithFlows(steerEntries),
+			steer.WithOpenings(steerEntries),
+		),
+		peers: probe.New(),
+		view:  view{},
+	}
+	for _, a := range f.Agents {
+		if !a.Dead {
+			b.view[a.Endpoint.Agent] = a.Endpoint
+		}
+	}
+	b.renew()
+	f.Balancers = append(f.Balancers, b)
+	f.After(tickEvery, b.tick)
+	return b
+}
+
+// renew puts the view in use.
+func (b *Balancer) renew() {
+	var s steer.Snapshot
+	for i, service := range b.fleet.Settings.Services {
+		s.Services = append(s.Services, steer.Service{
+			ID:        b.fleet.ServiceID(i),
+			Address:   Target(i),
+			Protocol:  pact.TCP,
+			Endpoints: b.view.of(pact.Identify(service.Name)),
+		})
+	}
+	b.steer.SetServices(s)
+}
+
+// of lists the endpoints of a service in the order of their addresses.
+func (v view) of(service pact.ServiceID) (out []node.Endpoint) {
+	for _, e := range v {
+		if e.Service == service {
+			out = append(out, e)
+		}
+	}
+	slices.SortFunc(out, func(x, y node.Endpoint) int { return x.Agent.Compare(y.Agent) })
+	return out
+}
+
+func (b *Balancer) tick() {
+	if b.Dead {
+		return
+	}
+	b.probe(probe.Tick{})
+	b.fleet.After(tickEvery, b.tick)
+}
+
+func (b *Balancer) probe(e probe.Event) {
+	for _, action := range b.peers.Step(b.fleet.Now(), e, nil) {
+		switch action := action.(type) {
+		case probe.Ask:
+			b.fleet.Probe(b.Address, action.Peer)
+		case probe.Renew:
+			b.fleet.Renew(b.Address, action.Peer)
+		}
+	}
+}
+
+func (b *Balancer) answered(peer netip.AddrPort) {
+	b.probe(probe.Answered{
+		Peer: peer,
+	})
+}
+
+// hint keeps an owner; one that this balancer does not know yet is no loss.
+func (b *Balancer) hint(key link.Key, owner node.Incarnation) {
+	_ = b.steer.Hint(b.fleet.Now(), key, owner)
+}
+
+// receive hands a packet of a caller to the first candidate.
+func (b *Balancer) receive(g stack.Segment) {
+	if b.Dead {
+		return
+	}
+	d := &b.decision
+	batch := []steer.Arrival{
+		{
+			Packet: g.Packet,
+		},
+	}
+	b.steer.Prepare(batch)
+	if err := b.steer.Decide(b.fleet.Now(), &batch[0], d); err != nil {
+		return
+	}
+	b.fleet.Record.Arrived++
+	b.peers.SilentLast(d.Order, func(i int) netip.AddrPort { return d.Endpoints[i].Agent })
+	m := agent.Message{
+		Segment:  g,
+		Service:  d.Service,
+		Balancer: b.Address,
+	}
+	for _, i := range d.Order {
+		m.Candidates = append(m.Candidates, d.Endpoints[i])
+	}
+	to := m.Candidates[0].Agent
+	b.fleet.handTo(b.Address, to, m)
+	b.probe(probe.Sent{
+		Peer: to,
+	})
+}
--- /dev/null
+++ b/internal/fake/fleet/change.go
@@ -0,0 +1,190 @@
+package fleet
+
+import (
+	"maps"
+	"net/netip"
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/fake/agent"
+	"github.com/clementinewing/clementinewing/internal/flow/admit"
+	"github.com/clementinewing/clementinewing/internal/world/node"
+)
+
+// drainTime is how long a planned stop may take.
+const drainTime = 10 * time.Minute
+
+func address(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(n >> 8), byte(n)}), 4100)
+}
+
+// start starts an endpoint that everyone knows.
+func (f *Fleet) start(service int) *agent.Agent {
+	a := f.launch(service, address(f.next))
+	f.next++
+	for _, other := range f.Agents {
+		if other.Endpoint.Service == a.Endpoint.Service {
+			other.View[a.Endpoint.Agent] = a.Endpoint
+		}
+	}
+	maps.Copy(a.View, viewOf(f, a))
+	return a
+}
+
+// viewOf is what is true now of the service of an agent.
+func viewOf(f *Fleet, a *agent.Agent) view {
+	v := view{}
+	for _, other := range f.Agents {
+		if !other.Dead && other.Endpoint.Service == a.Endpoint.Service {
+			v[other.Endpoint.Agent] = other.Endpoint
+		}
+	}
+	return v
+}
+
+func (f *Fleet) launch(service int, at netip.AddrPort) *agent.Agent {
+	s := &f.Settings.Services[service]
+	e := node.Endpoint{
+		Service:     f.ServiceID(service),
+		Upstream:    at.String(),
+		Agent:       at,
+		Incarnation: node.Incarnation(f.Random.Uint64()),
+		Weight:      1,
+		State:       node.Serving,
+		Sequence:    1,
+	}
+	g := admit.New(s.Limits, admit.WithPolicy(s.Policy))
+	a := agent.New(e, g, s.Upstream, f, f.Random, f.Settings.Table...)
+	f.Agents = append(f.Agents, a)
+	f.agents[at] = a
+	return a
+}
+
+// Join starts a new endpoint that the others learn of with the usual lag.
+func (f *Fleet) Join(service int) *agent.Agent {
+	a := f.launch(service, address(f.next))
+	f.next++
+	maps.Copy(a.View, viewOf(f, a))
+	f.announce(a)
+	return a
+}
+
+// Restart starts a new life at the address of a dead agent, for any service.
+func (f *Fleet) Restart(dead *agent.Agent, service int) *agent.Agent {
+	a := f.launch(service, dead.Endpoint.Agent)
+	maps.Copy(a.View, viewOf(f, a))
+	f.announce(a)
+	return a
+}
+
+// announce tells everyone what an endpoint says of itself, each in its own time.
+func (f *Fleet) announce(a *agent.Agent) {
+	e := a.Endpoint
+	for _, b := range f.Balancers {
+		f.After(f.lag(), func() {
+			if b.view.learn(e) {
+				b.renew()
+			}
+		})
+	}
+	for _, other := range f.Agents {
+		if other.Endpoint.Service == e.Service {
+			f.After(f.lag(), func() { other.Do(func() { view(other.View).learn(e) }) })
+		}
+	}
+}
+
+func (f *Fleet) lag() time.Duration {
+	if f.Settings.Lag <= 0 {
+		return 0
+	}
+	return time.Duration(f.Random.Int64N(int64(f.Settings.Lag)))
+}
+
+// learn takes what is newer and tells whether it was. A new life at an address
+// takes the place of the old one, whose late news are for nobody.
+func (v view) learn(e node.Endpoint) bool {
+	old, known := v[e.Agent]
+	if known && old.Incarnation == e.Incarnation && old.Sequence >= e.Sequence {
+		return false
+	}
+	if known && old.Incarnation != e.Incarnation && e.Sequence > 1 {
+		return false
+	}
+	if e.State == node.Gone {
+		delete(v, e.Agent)
+		return known
+	}
+	v[e.Agent] = e
+	return true
+}
+
+// say announces a new state of an endpoint.
+func (f *Fleet) say(a *agent.Agent, s node.State) {
+	a.Endpoint.State = s
+	a.Endpoint.Sequence++
+	f.announce(a)
+}
+
+// Drain stops an endpoint gracefully; once empty it is gone.
+func (f *Fleet) Drain(a *agent.Agent) {
+	a.Drain(f.Now().Add(drainTime))
+	f.say(a, node.Draining)
+	f.leaveWhenEmpty(a)
+}
+
+func (f *Fleet) leaveWhenEmpty(a *agent.Agent) {
+	if _, empty := f.Record.Emptied[a]; !empty {
+		f.After(100*time.Millisecond, func() { f.leaveWhenEmpty(a) })
+		return
+	}
+	f.say(a, node.Gone)
+	a.Kill()
+}
+
+// Kill ends an endpoint without a word. Its lease lapses, then it is listed for a
+// while as one that takes no new flows.
+func (f *Fleet) Kill(a *agent.Agent) {
+	a.Kill()
+	f.After(f.Settings.Lease, func() { f.say(a, node.Draining) })
+	f.After(f.Settings.Lease+f.Settings.Keep, func() { f.say(a, node.Gone) })
+}
+
+// Pause stops a process for a while; its lease may lapse meanwhile.
+func (f *Fleet) Pause(a *agent.Agent, wait time.Duration) {
+	a.Pause()
+	lapsed := wait > f.Settings.Lease
+	if lapsed {
+		f.After(f.Settings.Lease, func() { f.say(a, node.Draining) })
+	}
+	f.After(wait, func() {
+		a.Wake()
+		if lapsed && !a.Dead {
+			f.say(a, node.Serving)
+		}
+	})
+}
+
+// KillBalancer ends a balancer without a word.
+func (f *Fleet) KillBalancer(b *Balancer) {
+	b.Dead = true
+}
+
+// Forget makes a balancer lose an endpoint from its view for a while.
+func (f *Fleet) Forget(b *Balancer, a *agent.Agent, wait time.Duration) {
+	delete(b.view, a.Endpoint.Agent)
+	b.renew()
+	f.After(wait, func() {
+		if !a.Dead {
+			b.view.learn(a.Endpoint)
+			b.renew()
+		}
+	})
+}
+
+// Limit puts other limits in force at one endpoint.
+func Limit(a *agent.Agent, slots, connections int) {
+	a.Gate.SetLimits(admit.Limits{
+		Slots:       slots,
+		Connections: connections,
+	})
+}
