--- /dev/null
+++ b/internal/flow/route/route.go
@@ -0,0 +1,64 @@
+// Package route joins the file in force with the endpoints that have announced
+// themselves into what a balancer steers by.
+package route
+
+import (
+	"slices"
+
+	"github.com/clementinewing/clementinewing/internal/board/file"
+	"github.com/clementinewing/clementinewing/internal/flow/steer"
+	"github.com/clementinewing/clementinewing/internal/world/node"
+	"github.com/clementinewing/clementinewing/internal/world/pact"
+)
+
+// Build gives every service of the file with the endpoints that may serve it. An
+// endpoint that the file does not allow is left out, whatever it announces.
+func Build(f file.File, endpoints []node.Endpoint) steer.Snapshot {
+	byService := group(endpoints)
+	out := steer.Snapshot{
+		Services: make([]steer.Service, 0, len(f.Services)),
+	}
+	for i := range f.Services {
+		p := &f.Services[i].Pact
+		out.Services = append(out.Services, steer.Service{
+			ID:        p.ID,
+			Address:   p.Address,
+			Protocol:  p.Protocol,
+			Endpoints: allowed(f, p, byService[p.ID]),
+		})
+	}
+	return out
+}
+
+func group(endpoints []node.Endpoint) map[pact.ServiceID][]node.Endpoint {
+	out := map[pact.ServiceID][]node.Endpoint{}
+	for _, e := range endpoints {
+		out[e.Service] = append(out[e.Service], e)
+	}
+	return out
+}
+
+// allowed keeps the endpoints that the file lets serve, with the file's weights.
+func allowed(f file.File, p *pact.Service, endpoints []node.Endpoint) []node.Endpoint {
+	out := make([]node.Endpoint, 0, len(endpoints))
+	for _, e := range endpoints {
+		if len(p.Upstreams) > 0 && !slices.Contains(p.Upstreams, e.Upstream) {
+			continue
+		}
+		if weight, ok := weightOf(f, e.Upstream); ok {
+			e.Weight = weight
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func weightOf(f file.File, upstream string) (weight uint32, ok bool) {
+	i := slices.IndexFunc(f.Upstreams, func(u file.Upstream) bool {
+		return u.Name == upstream
+	})
+	if i < 0 {
+		return 0, false
+	}
+	return f.Upstreams[i].Weight, true
+}
