--- a/cmd/clementinewing/balancer.go
+++ b/cmd/clementinewing/balancer.go
@@ -63,9 +63,9 @@
 		logger.Info().Msg("keys read again")
 	})
 	defer stop()
-	drain, _, end := signals(ctx)
+	drain, kill, end := signals(ctx)
 	defer end()
-	return f.Run(drain)
+	return f.Run(drain, kill)
 }
 
 func setTrialFile(f *front.Front, path string) (err error) {
--- /dev/null
+++ b/internal/demo/play/play.go
@@ -0,0 +1,207 @@
+// Package play runs the demonstration: both deployments under load while their
+// balancers, upstreams and files are changed.
+package play
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/clementinewing/clementinewing/internal/demo/calls"
+	"github.com/clementinewing/clementinewing/internal/demo/score"
+	"github.com/clementinewing/clementinewing/internal/demo/stage"
+	"github.com/clementinewing/clementinewing/internal/fake/caller"
+	"github.com/clementinewing/clementinewing/internal/world/pact"
+)
+
+const (
+	callersPerService = 2
+	viewTimeout       = 15 * time.Second
+	sampleInterval    = 10 * time.Millisecond
+	unplugDelay       = 500 * time.Millisecond
+)
+
+// Play is one demonstration.
+type Play struct {
+	seed    uint64
+	scale   float64
+	say     func(string)
+	score   *score.Score
+	started time.Time
+	houses  []*house
+}
+
+// house is one deployment with its callers.
+type house struct {
+	stage    *stage.Stage
+	services []*calls.Service
+	callers  []*caller.Caller
+	busy     []*busyTime
+}
+
+// Option sets one property of a Play.
+type Option func(*Play)
+
+// WithSeed seeds the fabric and the callers.
+func WithSeed(seed uint64) Option {
+	return func(p *Play) {
+		p.seed = seed
+	}
+}
+
+// WithScale multiplies the rate of requests.
+func WithScale(scale float64) Option {
+	return func(p *Play) {
+		p.scale = scale
+	}
+}
+
+// WithProgress is told what happens while it happens.
+func WithProgress(say func(string)) Option {
+	return func(p *Play) {
+		p.say = say
+	}
+}
+
+// New makes a demonstration.
+func New(options ...Option) *Play {
+	p := &Play{
+		seed:  1,
+		scale: 1,
+		say:   func(string) {},
+		score: &score.Score{},
+	}
+	for _, o := range options {
+		o(p)
+	}
+	return p
+}
+
+// Run runs the demonstration and gives its result.
+func (p *Play) Run(ctx context.Context) (line score.Line, err error) {
+	defer func() { err = eris.Wrap(err, "running the demonstration") }()
+	defer p.close()
+	p.started = time.Now()
+	for i, d := range stage.Deployments() {
+		err = p.open(ctx, d, p.seed+uint64(i))
+		if err != nil {
+			return line, err
+		}
+	}
+	load, endLoad := context.WithCancel(ctx)
+	var w sync.WaitGroup
+	for i, h := range p.houses {
+		w.Go(func() { p.load(load, h, p.seed+uint64(i)) })
+	}
+	p.script(ctx)
+	endLoad()
+	w.Wait()
+	return p.line(), ctx.Err()
+}
+
+func (p *Play) close() {
+	for _, h := range p.houses {
+		for _, c := range h.callers {
+			c.Close()
+		}
+		h.stage.Close()
+	}
+}
+
+// open starts a deployment and waits until its balancers know every endpoint.
+func (p *Play) open(ctx context.Context, d stage.Deployment, seed uint64) (err error) {
+	h := &house{}
+	h.stage, err = stage.New(d, seed, stage.Faults{
+		Loss:    0.002,
+		Double:  0.002,
+		Reorder: 0.01,
+	})
+	if err != nil {
+		return err
+	}
+	p.houses = append(p.houses, h)
+	for range d.Balancers {
+		_, err = h.stage.AddBalancer()
+		if err != nil {
+			return err
+		}
+	}
+	endpoints := 0
+	for _, spec := range d.Services {
+		for n := range spec.Endpoints {
+			_, err = h.stage.AddUpstream(spec, fmt.Sprintf("%s-%d", spec.Name, n+1))
+			if err != nil {
+				return err
+			}
+		}
+		endpoints += spec.Endpoints
+		err = h.addCallers(p.score, spec)
+		if err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	p.did(fmt.Sprintf("%s: %d balancers and %d upstreams started", d.Name, d.Balancers, endpoints), nil)
+	return h.stage.AwaitView(ctx, endpoints)
+}
+
+func (h *house) addCallers(sc *score.Score, spec stage.Service) (err error) {
+	s := &calls.Service{
+		Name:   spec.Name,
+		Target: spec.Address,
+		Ledger: h.stage.Ledger,
+		Once:   spec.Contract == pact.Once,
+		Died:   h.stage.Died,
+		Score:  sc,
+	}
+	for range callersPerService {
+		address := netip.AddrFrom4([4]byte{10, 1, byte(len(h.services)), byte(len(h.callers) + 1)})
+		c, err := caller.New(address, h.stage.CallerAddress())
+		if err != nil {
+			return err
+		}
+		h.callers = append(h.callers, c)
+		s.Callers = append(s.Callers, c)
+	}
+	h.services = append(h.services, s)
+	return nil
+}
+
+// load runs the callers of a deployment until ctx ends.
+func (p *Play) load(ctx context.Context, h *house, seed uint64) {
+	var w sync.WaitGroup
+	for i, s := range h.services {
+		spec := h.stage.Deployment.Services[i]
+		b := newBusyTime(spec)
+		h.busy = append(h.busy, b)
+		w.Go(func() { s.Requests(ctx, seed+uint64(i), p.scale*spec.Rate) })
+		w.Go(func() { s.Feeds(ctx, seed+uint64(i), spec.Feeds) })
+		w.Go(func() { b.watch(ctx, h.stage) })
+	}
+	w.Wait()
+}
+
+// did notes a step.
+func (p *Play) did(what string, err error) {
+	s := score.Step{
+		Second: time.Since(p.started).Round(100 * time.Millisecond).Seconds(),
+		What:   what,
+	}
+	if err != nil {
+		s.Failed = err.Error()
+	}
+	p.score.Did(s)
+	p.say(fmt.Sprintf("%5.1f s  %s%s", s.Second, what, failure(err)))
+}
+
+func failure(err error) string {
+	if err == nil {
+		return ""
+	}
+	return ": " + err.Error()
+}
--- /dev/null
+++ b/internal/demo/play/script.go
@@ -0,0 +1,98 @@
+package play
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+const pause = 1500 * time.Millisecond
+
+// act is one step of the script for one deployment.
+type act func(ctx context.Context, h *house) (what string, err error)
+
+// script changes every deployment, one step after the other.
+func (p *Play) script(ctx context.Context) {
+	acts := []act{
+		p.addBalancer,
+		p.stopBalancer,
+		p.drainUpstream,
+		p.killBalancer,
+		p.addUpstream,
+		p.killUpstream,
+	}
+	wait(ctx, 2*pause)
+	for _, a := range acts {
+		for _, h := range p.houses {
+			what, err := a(ctx, h)
+			p.did(h.stage.Deployment.Name+": "+what, err)
+		}
+		wait(ctx, pause)
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (p *Play) addBalancer(_ context.Context, h *house) (what string, err error) {
+	b, err := h.stage.AddBalancer()
+	if err != nil {
+		return "adding a balancer", err
+	}
+	return b.Name + " added", nil
+}
+
+func (p *Play) stopBalancer(_ context.Context, h *house) (what string, err error) {
+	b, err := h.stage.OldestBalancer()
+	if err != nil {
+		return "stopping a balancer", err
+	}
+	h.stage.StopBalancer(b)
+	return b.Name + " stopped", nil
+}
+
+func (p *Play) killBalancer(ctx context.Context, h *house) (what string, err error) {
+	b, err := h.stage.OldestBalancer()
+	if err != nil {
+		return "killing a balancer", err
+	}
+	h.stage.KillBalancer(b)
+	wait(ctx, unplugDelay)
+	h.stage.Unplug(b)
+	return b.Name + " killed", nil
+}
+
+func (p *Play) drainUpstream(_ context.Context, h *house) (what string, err error) {
+	u, err := h.stage.Upstream(upstreamName(h, 0, 1))
+	if err != nil {
+		return "draining an upstream", err
+	}
+	h.stage.DrainUpstream(u)
+	return u.Name + " drains", nil
+}
+
+func (p *Play) addUpstream(_ context.Context, h *house) (what string, err error) {
+	spec := h.stage.Deployment.Services[0]
+	u, err := h.stage.AddUpstream(spec, upstreamName(h, 0, spec.Endpoints+1))
+	if err != nil {
+		return "adding an upstream", err
+	}
+	return u.Name + " added", nil
+}
+
+func (p *Play) killUpstream(_ context.Context, h *house) (what string, err error) {
+	u, err := h.stage.Upstream(upstreamName(h, 0, 2))
+	if err != nil {
+		return "killing an upstream", err
+	}
+	h.stage.KillUpstream(u)
+	return u.Name + " killed", nil
+}
+
+func upstreamName(h *house, service, number int) string {
+	return fmt.Sprintf("%s-%d", h.stage.Deployment.Services[service].Name, number)
+}
--- /dev/null
+++ b/internal/demo/stage/balancer.go
@@ -0,0 +1,104 @@
+package stage
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/clementinewing/clementinewing/internal/conf/roles"
+	"github.com/clementinewing/clementinewing/internal/role/front"
+)
+
+var errNoBalancer = errors.New("no balancer runs")
+
+// Balancer is one balancer on the stage.
+type Balancer struct {
+	Name  string
+	front *front.Front
+	stop  context.CancelFunc
+	kill  context.CancelFunc
+	done  chan struct{}
+	gone  bool
+}
+
+// AddBalancer starts one more balancer and lets the fabric spray over it.
+func (s *Stage) AddBalancer() (b *Balancer, err error) {
+	defer func() { err = eris.Wrap(err, "adding a balancer") }()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	b = &Balancer{
+		Name: fmt.Sprintf("%s-balancer-%d", s.Deployment.Name, len(s.balancers)+1),
+		done: make(chan struct{}),
+	}
+	b.front, err = front.New(roles.Balancer{
+		Common: s.common(b.Name, s.contacts()),
+		Fabric: anywhere,
+	}, front.WithCredentials(s.server, s.client))
+	if err != nil {
+		return nil, err
+	}
+	stop, endStop := context.WithCancel(context.Background())
+	kill, endKill := context.WithCancel(context.Background())
+	b.stop, b.kill = endStop, endKill
+	s.running.Go(func() {
+		defer close(b.done)
+		_ = b.front.Run(stop, kill)
+	})
+	b.front.SetFile(s.file)
+	s.balancers = append(s.balancers, b)
+	s.spray()
+	return b, nil
+}
+
+// OldestBalancer gives the balancer that has run longest.
+func (s *Stage) OldestBalancer() (*Balancer, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, b := range s.balancers {
+		if !b.gone {
+			return b, nil
+		}
+	}
+	return nil, errNoBalancer
+}
+
+// StopBalancer takes a balancer out of the fabric and stops it.
+func (s *Stage) StopBalancer(b *Balancer) {
+	s.mutex.Lock()
+	b.gone = true
+	s.spray()
+	s.mutex.Unlock()
+	b.stop()
+	<-b.done
+}
+
+// KillBalancer ends a balancer at once; the fabric notices when Unplug is called.
+func (s *Stage) KillBalancer(b *Balancer) {
+	b.kill()
+	<-b.done
+}
+
+// Unplug takes a dead balancer out of the fabric.
+func (s *Stage) Unplug(b *Balancer) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	b.gone = true
+	s.spray()
+}
+
+func (s *Stage) spray() {
+	var out []netip.AddrPort
+	for _, b := range s.balancers {
+		if !b.gone {
+			out = append(out, b.front.Fabric())
+		}
+	}
+	s.fabric.SetBalancers(out...)
+}
+
+func (b *Balancer) end() {
+	b.kill()
+}
--- /dev/null
+++ b/internal/demo/stage/deployment.go
@@ -0,0 +1,101 @@
+// Package stage runs a whole deployment in one process on loopback: fabric,
+// balancers, side processes, upstreams and callers.
+package stage
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/board/file"
+	"github.com/clementinewing/clementinewing/internal/world/pact"
+)
+
+// Deployment is one customer's places and services.
+type Deployment struct {
+	Name      string
+	Region    string
+	Domains   []string
+	Balancers int
+	Services  []Service
+}
+
+// Service is one service with its endpoints.
+type Service struct {
+	Name      string
+	Address   netip.AddrPort
+	Contract  pact.Contract
+	Endpoints int
+	Slots     uint32
+	// Work is how long a request takes.
+	Work time.Duration
+	// Rate is how many requests are opened a second, Feeds how many feeds are
+	// kept open.
+	Rate  float64
+	Feeds int
+}
+
+// Deployments are the two of today, at their sizes. Each service is loaded to
+// about two thirds of its slots.
+func Deployments() []Deployment {
+	return []Deployment{
+		{
+			Name:      "suedhang",
+			Region:    "oberbayern",
+			Domains:   []string{"muenchen-nord", "freising", "rosenheim"},
+			Balancers: 3,
+			Services: []Service{
+				service("dienstplan", "10.99.1.1:80", pact.Once, 7, 7),
+				service("blattdruck", "10.99.1.2:80", pact.Repeatable, 3, 7),
+			},
+		},
+		{
+			Name:      "nile-roll",
+			Region:    "cairo",
+			Domains:   []string{"nasr", "giza", "shubra", "maadi"},
+			Balancers: 3,
+			Services: []Service{
+				service("order-desk", "10.99.2.1:80", pact.Once, 7, 5),
+				service("catalogue", "10.99.2.2:80", pact.Repeatable, 4, 5),
+			},
+		},
+	}
+}
+
+const (
+	requestWork  = 100 * time.Millisecond
+	slotLoad     = 0.6
+	feedsAtOnce  = 10
+	connections  = 2_000
+	drainSeconds = 40
+)
+
+func service(name, address string, contract pact.Contract, endpoints int, slots uint32) Service {
+	all := float64(endpoints) * float64(slots)
+	return Service{
+		Name:      name,
+		Address:   netip.MustParseAddrPort(address),
+		Contract:  contract,
+		Endpoints: endpoints,
+		Slots:     slots,
+		Work:      requestWork,
+		Rate:      slotLoad * all / requestWork.Seconds(),
+		Feeds:     feedsAtOnce * endpoints,
+	}
+}
+
+// file is the operators' file of the deployment.
+func (d Deployment) file() (f file.File) {
+	f.Name = d.Name
+	for _, s := range d.Services {
+		f.Services = append(f.Services, file.Service{
+			Pact: pact.Service{
+				Name:     s.Name,
+				ID:       pact.Identify(s.Name),
+				Address:  s.Address,
+				Protocol: pact.TCP,
+				Contract: s.Contract,
+			},
+		})
+	}
+	return f
+}
--- /dev/null
+++ b/internal/demo/stage/stage.go
@@ -0,0 +1,181 @@
+package stage
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/hex"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc/credentials"
+
+	"github.com/clementinewing/clementinewing/internal/board/file"
+	"github.com/clementinewing/clementinewing/internal/conf/roles"
+	"github.com/clementinewing/clementinewing/internal/edge/keys"
+	"github.com/clementinewing/clementinewing/internal/edge/trust"
+	"github.com/clementinewing/clementinewing/internal/fake/certs"
+	"github.com/clementinewing/clementinewing/internal/fake/fabric"
+	"github.com/clementinewing/clementinewing/internal/fake/origin"
+	"github.com/clementinewing/clementinewing/internal/world/zone"
+)
+
+const keyBytes = 32
+
+// anywhere is a free port of loopback.
+var anywhere = netip.MustParseAddrPort("127.0.0.1:0")
+
+// Stage is one running deployment.
+type Stage struct {
+	Deployment Deployment
+	Ledger     *origin.Ledger
+	fabric     *fabric.Fabric
+	server     credentials.TransportCredentials
+	client     credentials.TransportCredentials
+	keys       *keys.Set
+	file       file.File
+	ctx        context.Context
+	cancel     context.CancelFunc
+	running    sync.WaitGroup
+
+	mutex     sync.Mutex
+	balancers []*Balancer
+	upstreams map[string]*Upstream
+	placed    int
+}
+
+// Faults are the chances, from 0 to 1, of what the fabric does to a packet.
+type Faults struct {
+	Loss    float64
+	Double  float64
+	Reorder float64
+}
+
+// New starts the fabric of a deployment; balancers and upstreams are added to it.
+func New(d Deployment, seed uint64, faults Faults) (s *Stage, err error) {
+	defer func() { err = eris.Wrapf(err, "starting %s", d.Name) }()
+	s = &Stage{
+		Deployment: d,
+		Ledger:     origin.NewLedger(),
+		upstreams:  map[string]*Upstream{},
+		file:       d.file(),
+	}
+	s.keys, err = drawKeys()
+	if err != nil {
+		return nil, err
+	}
+	err = s.secure()
+	if err != nil {
+		return nil, err
+	}
+	s.fabric, err = fabric.New(seed, fabric.WithFaults(faults.Loss, faults.Double, faults.Reorder))
+	if err != nil {
+		return nil, err
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.running.Go(func() { s.fabric.Run(s.ctx) })
+	return s, nil
+}
+
+func drawKeys() (k *keys.Set, err error) {
+	b := make([]byte, keyBytes)
+	_, err = rand.Read(b)
+	if err != nil {
+		return nil, err
+	}
+	return keys.Parse("demo", "1 = "+hex.EncodeToString(b))
+}
+
+func (s *Stage) secure() (err error) {
+	authority, err := certs.New()
+	if err != nil {
+		return err
+	}
+	pair, err := authority.Issue("demo")
+	if err != nil {
+		return err
+	}
+	var certificate tls.Certificate
+	certificate, err = pair.TLS()
+	if err != nil {
+		return err
+	}
+	s.server, s.client, err = trust.Make(authority.PEM, certificate)
+	return err
+}
+
+// CallerAddress is where callers of this deployment send packets.
+func (s *Stage) CallerAddress() netip.AddrPort {
+	return s.fabric.CallerAddress()
+}
+
+// Close kills everything that still runs.
+func (s *Stage) Close() {
+	s.mutex.Lock()
+	for _, b := range s.balancers {
+		b.end()
+	}
+	for _, u := range s.upstreams {
+		u.end()
+	}
+	s.mutex.Unlock()
+	s.cancel()
+	s.running.Wait()
+}
+
+// common gives what the settings of every role share. Machines are put into the
+// failure domains by turns.
+func (s *Stage) common(name string, contacts []netip.AddrPort) roles.Common {
+	d := s.Deployment
+	domain := d.Domains[s.placed%len(d.Domains)]
+	s.placed++
+	return roles.Common{
+		Name: name,
+		Place: zone.Place{
+			Region: d.Region,
+			Domain: domain,
+		},
+		Tunnel:   anywhere,
+		Control:  anywhere,
+		Contacts: contacts,
+		Keys:     s.keys,
+	}
+}
+
+// contacts are the control addresses of the balancers that run.
+func (s *Stage) contacts() (out []netip.AddrPort) {
+	for _, b := range s.balancers {
+		if !b.gone {
+			out = append(out, b.front.Control())
+		}
+	}
+	return out
+}
+
+// AwaitView waits until every balancer knows the given number of endpoints.
+func (s *Stage) AwaitView(ctx context.Context, endpoints int) (err error) {
+	defer func() { err = eris.Wrapf(err, "waiting for %d endpoints at every balancer", endpoints) }()
+	for !s.knows(endpoints) {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(pollInterval):
+		}
+	}
+	return nil
+}
+
+const pollInterval = 50 * time.Millisecond
+
+func (s *Stage) knows(endpoints int) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, b := range s.balancers {
+		if !b.gone && len(b.front.State().Endpoints) != endpoints {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/demo/stage/upstream.go
@@ -0,0 +1,132 @@
+package stage
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/clementinewing/clementinewing/internal/conf/roles"
+	"github.com/clementinewing/clementinewing/internal/edge/meter"
+	"github.com/clementinewing/clementinewing/internal/fake/origin"
+	"github.com/clementinewing/clementinewing/internal/role/side"
+)
+
+// Upstream is one upstream with its side process.
+type Upstream struct {
+	Name    string
+	Service Service
+	Origin  *origin.Upstream
+	side    *side.Side
+	drain   context.CancelFunc
+	kill    context.CancelFunc
+	done    chan struct{}
+	dead    atomic.Bool
+	leaving atomic.Bool
+}
+
+// AddUpstream starts one more upstream of a service.
+func (s *Stage) AddUpstream(spec Service, name string) (u *Upstream, err error) {
+	defer func() { err = eris.Wrapf(err, "adding upstream %s", name) }()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	u = &Upstream{
+		Name:    name,
+		Service: spec,
+		done:    make(chan struct{}),
+	}
+	u.Origin, err = origin.New(spec.Name, name, anywhere, origin.WithWork(spec.Work), origin.WithLedger(s.Ledger))
+	if err != nil {
+		return nil, err
+	}
+	u.side, err = side.New(roles.Agent{
+		Common:      s.common(name, s.contacts()),
+		Fabric:      s.fabric.AnswerAddress(),
+		Service:     spec.Name,
+		Upstream:    u.Origin.Address(),
+		Slots:       spec.Slots,
+		Connections: connections,
+		Weight:      roles.DefaultWeight,
+		Drain:       drainSeconds * time.Second,
+		Keepalive:   roles.DefaultKeepaliveSeconds * time.Second,
+	}, side.WithCredentials(s.server, s.client))
+	if err != nil {
+		return nil, err
+	}
+	drain, endDrain := context.WithCancel(context.Background())
+	kill, endKill := context.WithCancel(context.Background())
+	u.drain, u.kill = endDrain, endKill
+	s.running.Go(func() {
+		defer close(u.done)
+		u.side.Run(drain, kill)
+	})
+	s.upstreams[name] = u
+	return u, nil
+}
+
+// Upstream gives an upstream by name.
+func (s *Stage) Upstream(name string) (*Upstream, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	u := s.upstreams[name]
+	if u == nil {
+		return nil, fmt.Errorf("no upstream named %s", name)
+	}
+	return u, nil
+}
+
+// DrainUpstream stops an upstream gracefully; Stopped tells when it has gone.
+func (s *Stage) DrainUpstream(u *Upstream) {
+	u.leaving.Store(true)
+	u.drain()
+}
+
+// Stopped is closed once the side process of the upstream has ended.
+func (u *Upstream) Stopped() <-chan struct{} {
+	return u.done
+}
+
+// KillUpstream ends an upstream and its side process at once.
+func (s *Stage) KillUpstream(u *Upstream) {
+	u.dead.Store(true)
+	u.Origin.Kill()
+	u.kill()
+	<-u.done
+}
+
+// Died tells whether the upstream of the given name was killed.
+func (s *Stage) Died(name string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	u := s.upstreams[name]
+	return u != nil && u.dead.Load()
+}
+
+// Serving gives the upstreams of a service that take new flows.
+func (s *Stage) Serving(service string) (out []*Upstream) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, u := range s.upstreams {
+		if u.Service.Name == service && !u.dead.Load() && !u.leaving.Load() {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// Reasons gives the refusals and retries of every side process.
+func (s *Stage) Reasons() (out []meter.Reason) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, u := range s.upstreams {
+		out = append(out, u.side.State().Reasons...)
+	}
+	return out
+}
+
+func (u *Upstream) end() {
+	u.kill()
+	u.Origin.Kill()
+}
--- a/internal/role/front/front.go
+++ b/internal/role/front/front.go
@@ -141,19 +141,26 @@
 }
 
 // Run serves until stop ends. A balancer has no flows to hand over: it tells the
-// others and goes.
-func (f *Front) Run(stop context.Context) (err error) {
+// others and goes. Once kill ends it goes without a word.
+func (f *Front) Run(stop, kill context.Context) (err error) {
 	var w sync.WaitGroup
 	ctx, cancel := context.WithCancel(context.Background())
 	w.Go(func() { f.path.run(ctx) })
 	w.Go(func() { err = f.member.Run(ctx, f.listener) })
 	f.logger.Info().Stringer("fabric", f.Fabric()).Stringer("control", f.Control()).Msg("serving")
-	<-stop.Done()
-	leave, cancelLeave := context.WithTimeout(ctx, leaveTimeout)
-	f.member.Leave(leave)
-	cancelLeave()
+	select {
+	case <-stop.Done():
+		f.leave(kill)
+	case <-kill.Done():
+	}
 	cancel()
 	w.Wait()
 	f.logger.Info().Msg("stopped")
 	return err
 }
+
+func (f *Front) leave(kill context.Context) {
+	ctx, cancel := context.WithTimeout(kill, leaveTimeout)
+	defer cancel()
+	f.member.Leave(ctx)
+}
