agent: end while openings wait for a slot

Cause: a side process that is cut gives its kept openings up, and the slots that come free then asked for a flow without a packet: a nil dereference, first seen in the demonstration when an upstream is killed. Change: an action on a flow that was given up keeps nothing. Shown: the new test panicked before and passes now.

--- a/internal/demo/calls/calls.go
+++ b/internal/demo/calls/calls.go
@@ -87,6 +87,7 @@
 	n := s.next.Add(1)
 	id := fmt.Sprintf("%s-%d", s.Name, n)
 	s.Score.Opened()
+	opened := time.Now()
 	body, err := s.post(s.Callers[n%uint64(len(s.Callers))], id, size)
 	runs := s.Ledger.Runs(id)
 	whole := err == nil && strings.HasPrefix(body, s.Name+" ") && strings.HasSuffix(body, fmt.Sprintf(" %s %d\n", id, size))
@@ -96,7 +97,8 @@
 	case isRefused(err):
 		s.Score.Refused(len(runs) > 0)
 	default:
-		s.Score.Broken(s.causeOf(runs))
+		s.Score.Broken(s.causeOf(runs), fmt.Sprintf("request %s: opened at %s, run %d times, answer %q: %v",
+			id, opened.Format(time.TimeOnly), len(runs), body, err))
 	}
 	s.Score.Checked(s.Once && len(runs) > 1, s.strayed(runs), whole && len(runs) == 0)
 }
@@ -156,9 +158,10 @@
 		s.Score.Refused(false)
 		sleep(ctx, time.Second)
 	case s.Died(seen.upstream):
-		s.Score.Broken(score.DeadUpstream)
+		s.Score.Broken(score.DeadUpstream, "")
 	default:
-		s.Score.Broken(score.Planned)
+		s.Score.Broken(score.Planned, fmt.Sprintf("feed of %q, last heard %s ago: %v",
+			seen.upstream, time.Since(seen.heard).Round(time.Millisecond), err))
 	}
 }
 
--- a/internal/demo/score/score.go
+++ b/internal/demo/score/score.go
@@ -19,6 +19,9 @@
 	DeadUpstream
 )
 
+// examplesMost bounds the examples of broken flows.
+const examplesMost = 10
+
 // Score counts outcomes; it may be used by many callers at once.
 type Score struct {
 	mutex sync.Mutex
@@ -40,7 +43,9 @@
 	Imbalance     float64        `json:"imbalance"`
 	Services      []ServiceShare `json:"services"`
 	Steps         []Step         `json:"steps"`
-	Kept          bool           `json:"promises_kept"`
+	// Examples tell of the first flows that planned change has broken.
+	Examples []string `json:"examples,omitempty"`
+	Kept     bool     `json:"promises_kept"`
 }
 
 // ReasonCount is how often side processes refused for one reason.
@@ -85,14 +90,17 @@
 	})
 }
 
-// Broken counts a flow that ended before its caller wanted.
-func (s *Score) Broken(c Cause) {
+// Broken counts a flow that ended before its caller wanted; what says how.
+func (s *Score) Broken(c Cause, what string) {
 	s.change(func(l *Line) {
 		if c == DeadUpstream {
 			l.BrokenByDeath++
 			return
 		}
 		l.BrokenPlanned++
+		if len(l.Examples) < examplesMost {
+			l.Examples = append(l.Examples, what)
+		}
 	})
 }
 
@@ -154,5 +162,8 @@
 	for _, s := range l.Services {
 		fmt.Fprintf(w, "imbalance of %s\t%.3f\tat %.2f busy an endpoint\n", s.Service, s.Imbalance, s.MeanBusy)
 	}
+	for _, e := range l.Examples {
+		fmt.Fprintf(w, "broken\t%s\n", e)
+	}
 	return w.Flush()
 }
--- a/internal/role/agent/agent_test.go
+++ b/internal/role/agent/agent_test.go
@@ -20,6 +20,7 @@
 	"github.com/clementinewing/clementinewing/internal/fake/caller"
 	"github.com/clementinewing/clementinewing/internal/fake/fabric"
 	"github.com/clementinewing/clementinewing/internal/fake/origin"
+	"github.com/clementinewing/clementinewing/internal/flow/admit"
 	"github.com/clementinewing/clementinewing/internal/flow/owner"
 	"github.com/clementinewing/clementinewing/internal/role/agent"
 	"github.com/clementinewing/clementinewing/internal/world/node"
@@ -41,9 +42,11 @@
 	list    []wire.Candidate
 	caller  *caller.Caller
 	ring    *keys.Ring
+	// stops end one side process each.
+	stops []func()
 }
 
-func newBench(ctx context.Context, count int, work time.Duration) *bench {
+func newBench(ctx context.Context, count int, work time.Duration, options ...owner.Option) *bench {
 	set, err := keys.Parse("test", "1 = "+strings.Repeat("ab", 32))
 	Expect(err).NotTo(HaveOccurred())
 	b := &bench{
@@ -53,7 +56,7 @@
 	b.fabric, err = fabric.New(1, fabric.WithFaults(0.01, 0.02, 0.05))
 	Expect(err).NotTo(HaveOccurred())
 	for i := range count {
-		b.addEndpoint(ctx, i, work)
+		b.addEndpoint(ctx, i, work, options)
 	}
 	b.addBalancer(ctx)
 	run(ctx, b.fabric.Run)
@@ -63,26 +66,28 @@
 	return b
 }
 
-func run(ctx context.Context, f func(context.Context)) {
+func run(ctx context.Context, f func(context.Context)) (stop func()) {
 	var w sync.WaitGroup
 	ctx, cancel := context.WithCancel(ctx)
 	w.Go(func() { f(ctx) })
-	DeferCleanup(func() {
+	stop = func() {
 		cancel()
 		w.Wait()
-	})
+	}
+	DeferCleanup(stop)
+	return stop
 }
 
-func (b *bench) addEndpoint(ctx context.Context, i int, work time.Duration) {
+func (b *bench) addEndpoint(ctx context.Context, i int, work time.Duration, options []owner.Option) {
 	u, err := origin.New("dienstplan", fmt.Sprintf("u%d", i), netip.MustParseAddrPort("127.0.0.1:0"),
 		origin.WithLedger(b.ledger), origin.WithWork(work))
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(u.Kill)
 	incarnation := node.Incarnation(i + 1)
-	table := owner.New(owner.WithIdentity(service, incarnation))
+	table := owner.New(append(options, owner.WithIdentity(service, incarnation))...)
 	a, err := agent.New(b.ring, table, agent.WithUpstream(u.Address()), agent.WithFabric(b.fabric.AnswerAddress()))
 	Expect(err).NotTo(HaveOccurred())
-	run(ctx, a.Run)
+	b.stops = append(b.stops, run(ctx, a.Run))
 	b.origins = append(b.origins, u)
 	b.agents = append(b.agents, a)
 	b.list = append(b.list, wire.Candidate{
@@ -163,4 +168,21 @@
 		Eventually(done).WithTimeout(time.Minute).Should(Receive(HaveOccurred()))
 		Eventually(b.origins[0].Busy.Load).WithTimeout(time.Minute).Should(BeEquivalentTo(0))
 	})
+
+	It("ends while openings wait for a slot", func(ctx context.Context) {
+		gate := admit.New(admit.Limits{
+			Slots:       1,
+			Connections: 10,
+		})
+		b := newBench(context.WithoutCancel(ctx), 1, time.Hour, owner.WithGate(gate))
+		for i := range 3 {
+			go func() { _, _ = b.post(fmt.Sprintf("swap-%d", i), 10) }()
+		}
+		Eventually(func() int {
+			c := b.agents[0].Counts().Owner
+			return c.Waiting + int(b.origins[0].Served.Load())
+		}).WithTimeout(time.Minute).Should(Equal(3))
+		b.stops[0]()
+		Expect(b.origins[0].Served.Load()).To(BeEquivalentTo(1))
+	})
 })
--- a/internal/role/agent/shard.go
+++ b/internal/role/agent/shard.go
@@ -70,7 +70,7 @@
 		s.keep(c.Key, c.Serial, m)
 	case owner.Connect:
 		f := s.flows[c.Key]
-		if f == nil || f.serial != c.Serial {
+		if m != nil && (f == nil || f.serial != c.Serial) {
 			s.keep(c.Key, c.Serial, m)
 		}
 	}
