--- a/cmd/cwlab/table.go
+++ b/cmd/cwlab/table.go
@@ -1,6 +1,9 @@
 package main
 
-import "github.com/clementinewing/clementinewing/internal/bench/report"
+import (
+	"github.com/clementinewing/clementinewing/internal/bench/fleet"
+	"github.com/clementinewing/clementinewing/internal/bench/report"
+)
 
 // defaultSeeds is how many seeds each figure is taken over.
 const defaultSeeds = 20
@@ -14,5 +17,11 @@
 // experiments is the table of every experiment; each has a package of its own
 // under internal/bench.
 func experiments() []experiment {
-	return []experiment{}
+	return []experiment{
+		{
+			Name:  "spread",
+			Usage: "time until every balancer has a change, by size and loss",
+			Run:   fleet.Spread,
+		},
+	}
 }
--- /dev/null
+++ b/internal/bench/fleet/places.go
@@ -0,0 +1,43 @@
+package fleet
+
+import (
+	"fmt"
+
+	"github.com/clementinewing/clementinewing/internal/world/zone"
+)
+
+const (
+	// CallOverheadBytes is what a call costs beside its two messages: frames and
+	// headers of HTTP/2, TLS, TCP and IP with acknowledgments, both directions.
+	CallOverheadBytes = 500
+
+	targetBalancers = 18000
+	targetEndpoints = 160000
+	regionCount     = 8
+	domainCount     = 21
+)
+
+// Oberbayern are the places of the smaller deployment.
+var Oberbayern = []zone.Place{
+	{
+		Region: "oberbayern",
+		Domain: "muenchen-nord",
+	},
+	{
+		Region: "oberbayern",
+		Domain: "freising",
+	},
+	{
+		Region: "oberbayern",
+		Domain: "rosenheim",
+	},
+}
+
+// placeOf spreads machines over the target's regions and failure domains.
+func placeOf(i int) zone.Place {
+	domain := i % domainCount
+	return zone.Place{
+		Region: fmt.Sprintf("region-%d", domain%regionCount),
+		Domain: fmt.Sprintf("domain-%d", domain),
+	}
+}
--- a/internal/edge/peer/decode.go
+++ b/internal/edge/peer/decode.go
@@ -177,30 +177,28 @@
 			Hashes: s.GetHashes(),
 		})
 	}
-	for _, l := range in.GetLeaves() {
-		if badRange(l.GetLevel(), l.GetIndex()) {
-			return out, ErrRange
-		}
-		out.Leaves = append(out.Leaves, readLeaf(l))
+	out.Leaves, err = readLeaves(in.GetLeaves())
+	if err != nil {
+		return out, err
 	}
-	out.Wanted = readKeys(in.GetWanted())
-	return out, nil
+	out.Wanted, err = readLeaves(in.GetWanted())
+	return out, err
 }
 
 func badRange(level, index uint32) bool {
 	return level > maxLevel || index >= 1<<(4*level)
 }
 
-func readLeaf(in *RangeLeaf) spread.Leaf {
-	out := spread.Leaf{
-		Level: uint8(in.GetLevel()),
-		Index: uint16(in.GetIndex()),
-	}
-	for _, e := range in.GetEntries() {
-		out.Entries = append(out.Entries, spread.Entry{
-			Key:     readKey(e.GetKey()),
-			Version: readVersion(e.GetVersion()),
+func readLeaves(in []*RangeLeaf) (out []spread.Leaf, err error) {
+	for _, l := range in {
+		if badRange(l.GetLevel(), l.GetIndex()) {
+			return nil, ErrRange
+		}
+		out = append(out, spread.Leaf{
+			Level:   uint8(l.GetLevel()),
+			Index:   uint16(l.GetIndex()),
+			Digests: l.GetDigests(),
 		})
 	}
-	return out
+	return out, nil
 }
--- a/internal/edge/peer/encode.go
+++ b/internal/edge/peer/encode.go
@@ -107,7 +107,8 @@
 		Root:    in.Root,
 		Compare: in.Compare,
 		Records: writeRecords(in.Records),
-		Wanted:  writeKeys(in.Wanted),
+		Leaves:  writeLeaves(in.Leaves),
+		Wanted:  writeLeaves(in.Wanted),
 	}
 	for _, s := range in.Splits {
 		out.Splits = append(out.Splits, &RangeSplit{
@@ -116,21 +117,15 @@
 			Hashes: s.Hashes,
 		})
 	}
-	for _, l := range in.Leaves {
-		out.Leaves = append(out.Leaves, writeLeaf(l))
-	}
 	return out
 }
 
-func writeLeaf(in spread.Leaf) *RangeLeaf {
-	out := &RangeLeaf{
-		Level: uint32(in.Level),
-		Index: uint32(in.Index),
-	}
-	for _, e := range in.Entries {
-		out.Entries = append(out.Entries, &RangeEntry{
-			Key:     writeKey(e.Key),
-			Version: writeVersion(e.Version),
+func writeLeaves(in []spread.Leaf) (out []*RangeLeaf) {
+	for _, l := range in {
+		out = append(out, &RangeLeaf{
+			Level:   uint32(l.Level),
+			Index:   uint32(l.Index),
+			Digests: l.Digests,
 		})
 	}
 	return out
--- a/internal/edge/peer/member.go
+++ b/internal/edge/peer/member.go
@@ -23,6 +23,7 @@
 type hooks struct {
 	change     func([]node.Endpoint)
 	behind     func(member.Head)
+	probe      func(e node.Endpoint, fresh bool)
 	superseded func()
 }
 
@@ -40,6 +41,14 @@
 	}
 }
 
+// OnProbe calls f when the side process of an endpoint should be probed, on a new
+// link if fresh is set. An answer is reported with Answered.
+func OnProbe(f func(e node.Endpoint, fresh bool)) Option {
+	return func(o *options) {
+		o.hooks.probe = f
+	}
+}
+
 // OnSuperseded calls f when another process has taken this one's address.
 func OnSuperseded(f func()) Option {
 	return func(o *options) {
@@ -152,6 +161,26 @@
 	})
 }
 
+// Used tells that a packet was handed to an endpoint. A few times a second for
+// each endpoint in use are enough. Without OnProbe it does nothing, because
+// silence would then prove nothing.
+func (m *Member) Used(key lease.Key) {
+	if m.hooks.probe == nil {
+		return
+	}
+	m.step(member.Used{
+		Key: key,
+	})
+}
+
+// Answered tells that a datagram came from an endpoint. A few times a second for
+// each endpoint are enough.
+func (m *Member) Answered(key lease.Key) {
+	m.step(member.Answered{
+		Key: key,
+	})
+}
+
 // Snapshot lists the endpoints that may own flows.
 func (m *Member) Snapshot() []node.Endpoint {
 	m.mu.Lock()
@@ -244,6 +273,10 @@
 			defer m.deliver.Unlock()
 			m.hooks.change(m.Snapshot())
 		}
+	case member.Probe:
+		if m.hooks.probe != nil {
+			m.hooks.probe(a.Endpoint, a.Fresh)
+		}
 	case member.Behind:
 		if m.hooks.behind != nil {
 			m.deliver.Lock()
--- a/internal/fleet/member/message.go
+++ b/internal/fleet/member/message.go
@@ -31,8 +31,8 @@
 	Hash string
 }
 
-// Event is one of Tick, Update, Seeds, Adopted, Renewed, Exchanged, Returned and
-// Expired.
+// Event is one of Tick, Update, Seeds, Adopted, Used, Answered, Renewed,
+// Exchanged, Returned and Expired.
 type Event interface{ event() }
 
 // Tick tells that time has passed. It comes every TickInterval.
@@ -53,6 +53,16 @@
 	Head Head
 }
 
+// Used tells that a packet was handed to an endpoint.
+type Used struct {
+	Key lease.Key
+}
+
+// Answered tells that a datagram came from an endpoint.
+type Answered struct {
+	Key lease.Key
+}
+
 // Renewed is a Renew that has arrived.
 type Renewed struct {
 	Request uint64
@@ -82,13 +92,15 @@
 func (Update) event()    {}
 func (Seeds) event()     {}
 func (Adopted) event()   {}
+func (Used) event()      {}
+func (Answered) event()  {}
 func (Renewed) event()   {}
 func (Exchanged) event() {}
 func (Returned) event()  {}
 func (Expired) event()   {}
 
-// Action is one of Call, AnswerRenew, AnswerExchange, Behind, Superseded and
-// Changed.
+// Action is one of Call, AnswerRenew, AnswerExchange, Probe, Behind, Superseded
+// and Changed.
 type Action interface{ action() }
 
 // Call asks for a message to be sent and its answer to be returned; one of Renew
@@ -113,6 +125,13 @@
 	Reply   ExchangeReply
 }
 
+// Probe asks for a probe of the endpoint's side process; Fresh asks for a new
+// link, from another source port.
+type Probe struct {
+	Endpoint node.Endpoint
+	Fresh    bool
+}
+
 // Behind tells that another balancer has a later file in force.
 type Behind struct {
 	Head Head
@@ -127,6 +146,7 @@
 func (Call) action()           {}
 func (AnswerRenew) action()    {}
 func (AnswerExchange) action() {}
+func (Probe) action()          {}
 func (Behind) action()         {}
 func (Superseded) action()     {}
 func (Changed) action()        {}
--- a/internal/fleet/member/node.go
+++ b/internal/fleet/member/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/clementinewing/clementinewing/internal/fleet/lease"
 	"github.com/clementinewing/clementinewing/internal/fleet/spread"
+	"github.com/clementinewing/clementinewing/internal/fleet/watch"
 	"github.com/clementinewing/clementinewing/internal/world/node"
 )
 
@@ -33,6 +34,9 @@
 	// remind is when a lag behind the head is told again.
 	remind time.Time
 	view   view
+	watch  *watch.Watch
+	// now is the time of the last event.
+	now time.Time
 }
 
 // call is one call under way.
@@ -78,6 +82,7 @@
 		registry:  lease.NewRegistry(self.Incarnation, table),
 		spread:    spread.New(self, table, random, o.seeds),
 		calls:     map[uint64]call{},
+		watch:     watch.New(),
 		view:      newView(),
 	}
 }
@@ -99,12 +104,21 @@
 
 // Step takes one event and tells what is to be done.
 func (n *Node) Step(now time.Time, event Event) []Action {
+	n.now = now
 	var out []Action
 	switch e := event.(type) {
 	case Tick:
 		out = n.tick(now)
 	case Update:
 		out = n.update(now, e.Endpoint)
+	case Used:
+		out = n.fromWatch(n.watch.Step(now, watch.Used{
+			Key: e.Key,
+		}))
+	case Answered:
+		out = n.fromWatch(n.watch.Step(now, watch.Answered{
+			Key: e.Key,
+		}))
 	case Seeds:
 		n.spread.Step(now, spread.Seeds{
 			Addresses: e.Addresses,
@@ -127,10 +141,11 @@
 	out := n.fromAnnouncer(now, n.announcer.Step(now, lease.Tick{}))
 	out = append(out, n.fromRegistry(now, n.registry.Step(now, lease.Tick{}))...)
 	out = append(out, n.fromSpread(now, n.spread.Step(now, spread.Tick{}))...)
+	out = append(out, n.fromWatch(n.watch.Step(now, watch.Tick{}))...)
 	if !now.Before(n.remind) {
 		out = append(out, n.headKnown(now)...)
 	}
-	if n.view.due(now) {
+	if n.due(now) {
 		out = append(out, Changed{})
 	}
 	return out
--- a/internal/fleet/member/route.go
+++ b/internal/fleet/member/route.go
@@ -6,6 +6,8 @@
 
 	"github.com/clementinewing/clementinewing/internal/fleet/lease"
 	"github.com/clementinewing/clementinewing/internal/fleet/spread"
+	"github.com/clementinewing/clementinewing/internal/fleet/watch"
+	"github.com/clementinewing/clementinewing/internal/world/node"
 )
 
 // publish puts a record into the table and on its way.
@@ -25,14 +27,50 @@
 		return n.headKnown(now)
 	}
 	n.view.note(now, r)
+	out := n.judge(now, r)
 	if r.IsBalancer() && !n.announcer.Held(now) {
 		n.announcer.Step(now, lease.Contacts{
 			Seeds: n.homes(),
 		})
 	}
-	return n.fromRegistry(now, n.registry.Step(now, lease.Learned{
+	return append(out, n.fromRegistry(now, n.registry.Step(now, lease.Learned{
 		Record: r,
-	}))
+	}))...)
+}
+
+// judge tells the watch what the leases say of an upstream.
+func (n *Node) judge(now time.Time, r lease.Record) []Action {
+	switch {
+	case r.IsBalancer():
+		return nil
+	case r.Endpoint.State == node.Gone:
+		return n.fromWatch(n.watch.Step(now, watch.Left{
+			Key: r.Key(),
+		}))
+	default:
+		return n.fromWatch(n.watch.Step(now, watch.Judged{
+			Key:    r.Key(),
+			Health: r.Health,
+		}))
+	}
+}
+
+func (n *Node) fromWatch(actions []watch.Action) []Action {
+	var out []Action
+	for _, a := range actions {
+		switch a := a.(type) {
+		case watch.Probe:
+			if r, ok := n.table.Lookup(a.Key); ok {
+				out = append(out, Probe{
+					Endpoint: r.Endpoint,
+					Fresh:    a.Fresh,
+				})
+			}
+		case watch.Turned:
+			n.view.changed = true
+		}
+	}
+	return out
 }
 
 func (n *Node) fromAnnouncer(now time.Time, actions []lease.AnnouncerAction) []Action {
--- a/internal/fleet/member/view.go
+++ b/internal/fleet/member/view.go
@@ -37,9 +37,10 @@
 }
 
 // due tells whether the endpoints have changed, once for each change.
-func (v *view) due(now time.Time) bool {
+func (n *Node) due(now time.Time) bool {
+	v := &n.view
 	for key, until := range v.lingers {
-		if !now.Before(until) {
+		if !now.Before(until) && n.watch.Health(now, key, lease.Absent) != lease.Live {
 			delete(v.lingers, key)
 			v.changed = true
 		}
@@ -57,10 +58,12 @@
 	var out []node.Endpoint
 	open := map[pact.ServiceID]bool{}
 	n.each(func(r lease.Record) {
-		open[r.Endpoint.Service] = open[r.Endpoint.Service] || r.Health == lease.Live && takesFlows(r.Endpoint)
+		live := n.watch.Health(n.now, r.Key(), r.Health) == lease.Live
+		open[r.Endpoint.Service] = open[r.Endpoint.Service] || live && takesFlows(r.Endpoint)
 	})
 	n.each(func(r lease.Record) {
-		if r.Health != lease.Live && takesFlows(r.Endpoint) && open[r.Endpoint.Service] {
+		live := n.watch.Health(n.now, r.Key(), r.Health) == lease.Live
+		if !live && takesFlows(r.Endpoint) && open[r.Endpoint.Service] {
 			r.Endpoint.State = node.Draining
 		}
 		out = append(out, r.Endpoint)
--- a/internal/fleet/spread/range.go
+++ b/internal/fleet/spread/range.go
@@ -1,6 +1,8 @@
 package spread
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/fleet/lease"
@@ -9,7 +11,7 @@
 const (
 	// leafRecords is up to how many records a range is compared record by
 	// record and not split further.
-	leafRecords = 16
+	leafRecords = 64
 	// maxRecords bounds the records of one message. What is left over follows
 	// with the next exchange.
 	maxRecords = 512
@@ -24,7 +26,8 @@
 	Records []lease.Record
 	Splits  []Split
 	Leaves  []Leaf
-	Wanted  []lease.Key
+	// Wanted are versions of which the sender knows only the digest.
+	Wanted []Leaf
 }
 
 // Split gives the hashes of the parts of a range. Level 0 is the whole key
@@ -35,17 +38,11 @@
 	Hashes []uint64
 }
 
-// Leaf lists the versions of all records in a range.
+// Leaf lists versions of records in a range by their digests.
 type Leaf struct {
 	Level   uint8
 	Index   uint16
-	Entries []Entry
-}
-
-// Entry is the version of one record.
-type Entry struct {
-	Key     lease.Key
-	Version lease.Version
+	Digests []uint64
 }
 
 // Empty tells whether the message says nothing.
@@ -53,6 +50,12 @@
 	return !m.Compare && len(m.Records) == 0 && len(m.Splits) == 0 && len(m.Leaves) == 0 && len(m.Wanted) == 0
 }
 
+// comparison is the message without its records.
+func (m Message) comparison() Message {
+	m.Records = nil
+	return m
+}
+
 // Opening starts a comparison.
 func (t *Table) Opening() Message {
 	return Message{
@@ -78,10 +81,8 @@
 	for _, l := range in.Leaves {
 		t.compareLeaf(l, &out)
 	}
-	for _, key := range in.Wanted {
-		if r, ok := t.Lookup(key); ok {
-			out.give(r)
-		}
+	for _, l := range in.Wanted {
+		t.answerWanted(l, &out)
 	}
 	return out, news
 }
@@ -122,16 +123,13 @@
 	l := Leaf{
 		Level:   level,
 		Index:   index,
-		Entries: make([]Entry, 0, count),
+		Digests: make([]uint64, 0, count),
 	}
 	first, last := span(level, index)
 	for i := first; i < last; i++ {
 		rows := t.buckets[i].rows
 		for j := range rows {
-			l.Entries = append(l.Entries, Entry{
-				Key:     rows[j].key(),
-				Version: rows[j].version(),
-			})
+			l.Digests = append(l.Digests, rows[j].digest())
 		}
 	}
 	return l
@@ -153,34 +151,47 @@
 	if l.Level > depth || int(l.Index) >= width(l.Level) {
 		return
 	}
-	theirs := make(map[lease.Key]lease.Version, len(l.Entries))
-	for _, e := range l.Entries {
-		theirs[e.Key] = e.Version
-	}
-	first, last := span(l.Level, l.Index)
-	for i := first; i < last; i++ {
-		rows := t.buckets[i].rows
-		for j := range rows {
-			t.compareRow(&rows[j], theirs, out)
-		}
+	theirs := make(map[uint64]struct{}, len(l.Digests))
+	for _, d := range l.Digests {
+		theirs[d] = struct{}{}
 	}
-	for _, e := range l.Entries {
-		if _, ok := theirs[e.Key]; ok {
-			out.Wanted = append(out.Wanted, e.Key)
+	t.eachIn(l, func(w *row, d uint64) {
+		if _, ok := theirs[d]; ok {
+			delete(theirs, d)
+			return
 		}
+		out.give(t.places.unpack(w))
+	})
+	if len(theirs) == 0 {
+		return
 	}
+	out.Wanted = append(out.Wanted, Leaf{
+		Level:   l.Level,
+		Index:   l.Index,
+		Digests: slices.Sorted(maps.Keys(theirs)),
+	})
 }
 
-// compareRow gives a record that the other end lacks. It leaves in theirs only
-// what this end lacks.
-func (t *Table) compareRow(w *row, theirs map[lease.Key]lease.Version, out *Message) {
-	version, ok := theirs[w.key()]
-	order := w.version().Compare(version)
-	if !ok || order > 0 {
-		out.give(t.places.unpack(w))
+// answerWanted gives the versions asked for that are still the present ones.
+func (t *Table) answerWanted(l Leaf, out *Message) {
+	if l.Level > depth || int(l.Index) >= width(l.Level) {
+		return
 	}
-	if ok && order >= 0 {
-		delete(theirs, w.key())
+	t.eachIn(l, func(w *row, d uint64) {
+		if slices.Contains(l.Digests, d) {
+			out.give(t.places.unpack(w))
+		}
+	})
+}
+
+// eachIn visits the rows of a range with their digests.
+func (t *Table) eachIn(l Leaf, visit func(w *row, digest uint64)) {
+	first, last := span(l.Level, l.Index)
+	for i := first; i < last; i++ {
+		rows := t.buckets[i].rows
+		for j := range rows {
+			visit(&rows[j], rows[j].digest())
+		}
 	}
 }
 
--- a/internal/fleet/spread/row.go
+++ b/internal/fleet/spread/row.go
@@ -108,6 +108,10 @@
 	}
 }
 
+func (w *row) digest() uint64 {
+	return digest(w.key(), w.version())
+}
+
 // position is a key's place in the key space.
 func position(k lease.Key) uint64 {
 	var b [16]byte
--- a/internal/fleet/spread/spread.go
+++ b/internal/fleet/spread/spread.go
@@ -50,7 +50,9 @@
 	busy    bool
 	rounds  int
 	tries   int
-	at      time.Time
+	// unanswered is the part of a comparison that is sent again after a failure.
+	unanswered Message
+	at         time.Time
 }
 
 // Event is one of Tick, Seeds, Changed, Requested, Replied and Failed.
@@ -167,15 +169,16 @@
 	s.choose()
 	out := s.compare(now)
 	slices.SortFunc(s.ready, netip.AddrPort.Compare)
+	s.ready = slices.Compact(s.ready)
 	waiting := s.ready[:0]
 	for _, to := range s.ready {
 		l := s.links[to]
-		if l == nil || len(l.pending) == 0 {
+		if l == nil || len(l.pending) == 0 && l.unanswered.Empty() {
 			continue
 		}
 		waiting = append(waiting, to)
 		if !l.busy && !now.Before(l.at) {
-			out = append(out, s.push(now, to, l, Message{}))
+			out = append(out, s.push(now, to, l, l.unanswered))
 		}
 	}
 	s.ready = waiting
@@ -199,7 +202,7 @@
 		to = s.stray(to)
 	}
 	l := s.link(to)
-	if l.busy {
+	if l.busy || !l.unanswered.Empty() {
 		return nil
 	}
 	l.rounds = 0
@@ -242,6 +245,7 @@
 	l.busy = false
 	l.tries = 0
 	l.sent = nil
+	l.unanswered = Message{}
 	l.at = now.Add(PushInterval)
 	s.known(e.From, e.Message)
 	next, news := s.table.Respond(now, e.Message)
@@ -290,15 +294,18 @@
 	l.busy = false
 	l.tries++
 	l.at = now.Add(RetryInterval)
+	sent := l.sent
+	l.sent = nil
 	if l.tries >= maxTries {
 		l.pending = nil
-		l.sent = nil
+		l.unanswered = Message{}
+		l.tries = 0
 		return
 	}
-	for _, key := range l.sent {
+	s.ready = append(s.ready, to)
+	for _, key := range sent {
 		s.queue([]netip.AddrPort{to}, key)
 	}
-	l.sent = nil
 }
 
 // push sends what is queued for a peer, with m if there is more to say.
@@ -314,6 +321,7 @@
 	}
 	l.busy = true
 	l.at = now.Add(PushInterval)
+	l.unanswered = m.comparison()
 	return Send{
 		To:      to,
 		Message: m,
