--- a/cmd/cwlab/table.go
+++ b/cmd/cwlab/table.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"github.com/clementinewing/clementinewing/internal/bench/fleet"
 	"github.com/clementinewing/clementinewing/internal/bench/load"
 	"github.com/clementinewing/clementinewing/internal/bench/report"
 )
@@ -23,5 +24,10 @@
 			Usage: "spread of work over the upstreams, against other policies and a central queue",
 			Run:   load.Run,
 		},
+		{
+			Name:  "spread",
+			Usage: "time until every balancer has a change, by size and loss",
+			Run:   fleet.Spread,
+		},
 	}
 }
