admit: keep openings waiting where another candidate may have room

Cause: the last candidate refused at once when its connections were full or it drained, though an earlier one had refused only for its slots. Ruled out: an empty budget. Change: such a candidate keeps the opening for its wait and hands it on, for three walks along the list.

The script 'full connections with a waiter' fails on the old rule. Half of the hand-over budget is kept for first walks.

The experiment counted slots of endpoints without connections as free, and its cold scene had more feeds than the endpoints of the start hold; both mended.

--- a/internal/bench/load/caller.go
+++ b/internal/bench/load/caller.go
@@ -16,9 +16,14 @@
 	closed
 )
 
-// feeds is the number of standing feeds of the whole service.
+// feeds is the number of standing feeds of the whole service: the upstreams
+// that serve from the start hold them all.
 func (w *world) feeds() int {
-	return int(feedShare * float64(w.shape.Endpoints*w.shape.Connections))
+	endpoints := w.shape.Endpoints
+	if w.trial.Fault == Cold {
+		endpoints--
+	}
+	return int(feedShare * float64(endpoints*w.shape.Connections))
 }
 
 // fill opens the feeds of the start.
--- a/internal/bench/load/load_test.go
+++ b/internal/bench/load/load_test.go
@@ -32,6 +32,15 @@
 		Expect(got.Busy).To(BeNumerically("~", trial.Load*slots, 0.1*slots))
 	})
 
+	It("spreads work evenly and refuses nothing beside a free slot", func() {
+		limit := trial
+		limit.Place = centralQueue
+		got := run(trial)
+		Expect(got.Slots).To(BeNumerically("<=", slotsBound))
+		Expect(got.Unfair).To(BeZero())
+		Expect(got.Answer).To(BeNumerically("<=", waitBound*run(limit).Answer))
+	})
+
 	It("waits longer under plain hashing than in a central queue", func() {
 		limit, hash := trial, trial
 		limit.Place = centralQueue
--- a/internal/bench/load/upstream.go
+++ b/internal/bench/load/upstream.go
@@ -29,9 +29,10 @@
 	reportedFlows int
 }
 
-// free tells whether the upstream would serve more work at once.
+// free tells whether the upstream has room for a flow whose work it would serve
+// at once.
 func (u *upstream) free() bool {
-	return u.serving() && u.inHand < u.capacity()
+	return u.serving() && u.inHand < u.capacity() && u.flows < u.world.shape.Connections
 }
 
 func (u *upstream) serving() bool {
--- a/internal/flow/admit/gate.go
+++ b/internal/flow/admit/gate.go
@@ -192,7 +192,7 @@
 		}
 	case reason == DeadlinePassed:
 		return refusal(reason)
-	case a.hunts() && g.budget.Spend():
+	case a.hunts() && g.spend(a):
 		return Answer{
 			Next:   HandOn,
 			Reason: reason,
@@ -207,7 +207,7 @@
 	if a.hunts() {
 		reason = g.spent(reason)
 	}
-	if holds(reason) && !a.Deadline.IsZero() && len(g.line) < g.policy.Waiting(g.limits.Slots) {
+	if a.holds(reason) && !a.Deadline.IsZero() && len(g.line) < g.policy.Waiting(g.limits.Slots) {
 		return Answer{
 			Next:   Hold,
 			Reason: reason,
@@ -217,6 +217,13 @@
 	return refusal(reason)
 }
 
+func (g *Gate) spend(a Ask) bool {
+	if a.Held {
+		return g.budget.SpendAgain()
+	}
+	return g.budget.Spend()
+}
+
 // spent names the empty budget as the reason where a hand-over was due.
 func (g *Gate) spent(reason Reason) Reason {
 	if reason == Draining || reason == ConnectionsFull {
@@ -247,9 +254,17 @@
 	}
 }
 
-// holds tells whether waiting can help.
-func holds(r Reason) bool {
-	return r == SlotsFull || r == ColdStart || r == Shedding || r == RetryBudget
+// holds tells whether waiting can help: a slot may come free here, or, where
+// connections are full or the endpoint drains, at another candidate.
+func (a Ask) holds(r Reason) bool {
+	switch r {
+	case SlotsFull, ColdStart, Shedding, RetryBudget:
+		return true
+	case ConnectionsFull, Draining:
+		return a.Candidates > 1 && a.Pass < closedPasses
+	default:
+		return false
+	}
 }
 
 // hunts tells whether the opening goes on if this endpoint has no room: on the
--- a/internal/flow/admit/policy.go
+++ b/internal/flow/admit/policy.go
@@ -9,6 +9,9 @@
 	// handOversPerOpening and handOverBurst are the default retry budget.
 	handOversPerOpening = 8.0
 	handOverBurst       = 100.0
+	// closedPasses is the number of walks along the list after which an endpoint
+	// without connections, or one that drains, refuses.
+	closedPasses = 3
 	// waitingPerSlot bounds the openings that wait, a slot.
 	waitingPerSlot = 16
 )
--- /dev/null
+++ b/internal/flow/admit/script_test.go
@@ -0,0 +1,217 @@
+package admit_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/clementinewing/clementinewing/internal/flow/admit"
+	"github.com/clementinewing/clementinewing/internal/flow/limit"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+)
+
+// A script has one step a line, "MS VERB ARGUMENTS -> EXPECTED", at a time in
+// milliseconds; "== NAME" starts a new gate. An opening that is taken or held
+// is counted at once.
+var _ = Describe("Scripts", func() {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		panic("no scripts")
+	}
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			panic(err)
+		}
+		for _, part := range strings.Split(string(text), "== ")[1:] {
+			name, steps, _ := strings.Cut(part, "\n")
+			It(filepath.Base(f)+": "+name, func() { play(steps) })
+		}
+	}
+})
+
+// player is the state of one script.
+type player struct {
+	gate *admit.Gate
+	now  time.Time
+	keys map[string]link.Key
+}
+
+func play(steps string) {
+	p := &player{
+		keys: map[string]link.Key{},
+	}
+	for line := range strings.Lines(steps) {
+		step, want, _ := strings.Cut(strings.TrimSpace(line), " -> ")
+		fields := strings.Fields(step)
+		if len(fields) == 0 || fields[0] == "#" {
+			continue
+		}
+		p.now = moment(fields[0])
+		got := p.step(fields[1], arguments(fields[2:]))
+		Expect(got).To(Equal(want), line)
+	}
+}
+
+// args are the words of a step: key=value, or a bare word with the value 1.
+type args map[string]string
+
+func arguments(words []string) args {
+	a := args{}
+	for _, w := range words {
+		key, value, ok := strings.Cut(w, "=")
+		if !ok {
+			value = "1"
+		}
+		a[key] = value
+	}
+	return a
+}
+
+func (a args) number(key string) int {
+	n, err := strconv.Atoi("0" + a[key])
+	Expect(err).NotTo(HaveOccurred())
+	return n
+}
+
+func (a args) moment(key string) time.Time {
+	if a[key] == "" {
+		return time.Time{}
+	}
+	return moment(a[key])
+}
+
+func moment(ms string) time.Time {
+	n, err := strconv.Atoi(ms)
+	Expect(err).NotTo(HaveOccurred())
+	return time.Unix(0, 0).Add(time.Duration(n) * time.Millisecond)
+}
+
+func (a args) limits() admit.Limits {
+	return admit.Limits{
+		Slots:       a.number("slots"),
+		Connections: a.number("connections"),
+	}
+}
+
+func (p *player) step(verb string, a args) string {
+	switch verb {
+	case "gate":
+		p.gate = admit.New(a.limits(), options(a)...)
+	case "ask":
+		return p.ask(a)
+	case "ready":
+		return p.ready()
+	case "check":
+		return p.check()
+	case "busy":
+		p.gate.Busy(p.now)
+	case "idle":
+		p.gate.Idle(p.now)
+	case "release":
+		p.gate.Release(p.now, admit.Outcome{
+			Result:  results[a["result"]],
+			Working: a["working"] != "",
+		})
+	case "report":
+		p.gate.Reported(p.now, a.number("slots"))
+	case "answers":
+		for range a.number("count") {
+			p.gate.Answered(p.now, p.now.Add(-time.Duration(a.number("ms"))*time.Millisecond))
+		}
+	case "limits":
+		p.gate.SetLimits(a.limits())
+	case "ramp":
+		p.gate.SetRamp(limit.Ramp{
+			Begin: p.now,
+			Warm:  a.moment("warm"),
+		})
+	case "drain":
+		p.gate.Drain(p.now, a.moment("deadline"))
+	default:
+		Fail("unknown verb " + verb)
+	}
+	return ""
+}
+
+var results = map[string]admit.Result{
+	"served":    admit.Served,
+	"refused":   admit.UpstreamRefused,
+	"timeout":   admit.UpstreamTimeout,
+	"abandoned": admit.Abandoned,
+}
+
+var nexts = map[admit.Next]string{
+	admit.Taken:  "taken",
+	admit.HandOn: "hand_on",
+	admit.Hold:   "hold",
+	admit.Refuse: "refuse",
+}
+
+func options(a args) []admit.Option {
+	var out []admit.Option
+	if a["policy"] == "even" {
+		out = append(out, admit.WithPolicy(admit.Even()))
+	}
+	if a["burst"] != "" {
+		out = append(out, admit.WithBudget(limit.NewBudget(0, float64(a.number("burst")))))
+	}
+	return out
+}
+
+func (p *player) ask(a args) string {
+	got := p.gate.Ask(p.now, admit.Ask{
+		Position:   a.number("position"),
+		Candidates: max(1, a.number("of")),
+		Pass:       a.number("pass"),
+		Last:       a["last"] != "",
+		Held:       a["held"] != "",
+		Deadline:   a.moment("deadline"),
+	})
+	Expect(got.Take).To(Equal(got.Next == admit.Taken))
+	out := nexts[got.Next] + " " + got.Reason.String()
+	switch got.Next {
+	case admit.Taken:
+		p.gate.Take(p.now)
+	case admit.Hold:
+		p.gate.Wait(admit.Waiter{
+			Key:   p.key(a["key"]),
+			Until: got.Until,
+		})
+		out += fmt.Sprintf(" until %d", got.Until.UnixMilli())
+	}
+	return out
+}
+
+func (p *player) key(name string) link.Key {
+	if _, ok := p.keys[name]; !ok {
+		p.keys[name] = link.Key{
+			Caller: uint32(len(p.keys)),
+		}
+	}
+	return p.keys[name]
+}
+
+func (p *player) ready() string {
+	w, ok := p.gate.Ready(p.now)
+	if !ok {
+		return "none"
+	}
+	for name, key := range p.keys {
+		if key == w.Key {
+			return name
+		}
+	}
+	return "unknown"
+}
+
+func (p *player) check() string {
+	return fmt.Sprintf("busy=%d flows=%d waiting=%d slots=%d drained=%v",
+		p.gate.InHand(), p.gate.Flows(), p.gate.Waiting(), p.gate.Slots(p.now), p.gate.Drained(p.now))
+}
--- a/internal/flow/limit/budget.go
+++ b/internal/flow/limit/budget.go
@@ -24,9 +24,20 @@
 	b.tokens = min(b.burst, b.tokens+b.perOpening)
 }
 
-// Spend takes the token of one hand-over, or tells that there is none.
+// Spend takes the token of a hand-over on an opening's first walk along its
+// list, or tells that there is none.
 func (b *Budget) Spend() bool {
-	if b.tokens < 1 {
+	return b.spend(1)
+}
+
+// SpendAgain takes the token of a hand-over of an opening that was refused by
+// all and waited. Half of the burst is kept back for first walks.
+func (b *Budget) SpendAgain() bool {
+	return b.spend(1 + b.burst/2)
+}
+
+func (b *Budget) spend(least float64) bool {
+	if b.tokens < least {
 		return false
 	}
 	b.tokens--
