admit: hand on at once while an endpoint drains

Cause: an opening that met a draining endpoint last was refused, or held there until its wait was over, and an empty budget refused it. The only candidate of a list never hands on; it did, to nobody (script 'the only candidate never hands on' failed).

--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -19,6 +19,8 @@
 	goalLoad = 0.7
 	// defaultWay is the policy of a service that sets none.
 	defaultWay = "few"
+	// limitWay is the central queue.
+	limitWay = "central"
 )
 
 // workers is the number of trials that run at once.
@@ -98,6 +100,9 @@
 	}
 	for _, s := range scenes() {
 		limit := s.play(centralQueue, seeds)
+		r.Rows = append(r.Rows, s.rows(way{
+			name: limitWay,
+		}, limit, limit)...)
 		for _, w := range ways() {
 			r.Rows = append(r.Rows, s.rows(w, s.play(w.place, seeds), limit)...)
 		}
--- a/internal/bench/load/rows.go
+++ b/internal/bench/load/rows.go
@@ -50,7 +50,14 @@
 
 func (s scene) figures(w way) []figure {
 	g := s.goals(w)
-	return append(evenness(g), cost(g)...)
+	switch {
+	case w.shipped:
+		return append(evenness(g), cost(g)...)
+	case w.name == limitWay:
+		return append(evenness(g), waitTime())
+	default:
+		return append(evenness(g), waits(g)...)
+	}
 }
 
 // evenness is how evenly upstreams are used.
@@ -76,8 +83,8 @@
 	}
 }
 
-// cost is what callers and links pay.
-func cost(g goals) []figure {
+// waits are what callers pay, over what they pay with the central queue.
+func waits(g goals) []figure {
 	return []figure{
 		{
 			name:  "wait",
@@ -86,11 +93,6 @@
 			bound: waitBound,
 			of:    func(f, l figures) float64 { return f.Wait / l.Wait },
 		},
-		{
-			name: "wait_ms",
-			unit: "ms",
-			of:   func(f, _ figures) float64 { return f.Wait },
-		},
 		{
 			name:  "answer",
 			unit:  "x central",
@@ -98,26 +100,41 @@
 			bound: waitBound,
 			of:    func(f, l figures) float64 { return f.Answer / l.Answer },
 		},
-		{
+	}
+}
+
+func waitTime() figure {
+	return figure{
+		name: "wait_ms",
+		unit: "ms",
+		of:   func(f, _ figures) float64 { return f.Wait },
+	}
+}
+
+// cost is what callers and links pay.
+func cost(g goals) []figure {
+	return append(waits(g),
+		waitTime(),
+		figure{
 			name: "hand_overs",
 			unit: "1/opening",
 			of:   func(f, _ figures) float64 { return f.Hops },
 		},
-		{
+		figure{
 			name: "idle_wait",
 			unit: "ms/opening",
 			of:   func(f, _ figures) float64 { return f.Idled },
 		},
-		{
+		figure{
 			name: "refused",
 			unit: "1/run",
 			of:   func(f, _ figures) float64 { return f.Refused },
 		},
-		{
+		figure{
 			name:  "refused_while_free",
 			unit:  "1/run",
 			sense: g.free,
 			of:    func(f, _ figures) float64 { return f.Unfair },
 		},
-	}
+	)
 }
--- a/internal/flow/admit/gate.go
+++ b/internal/flow/admit/gate.go
@@ -178,7 +178,7 @@
 // settled tells that every other candidate has refused the opening, so that
 // only this endpoint's hard limits count.
 func (a Ask) settled() bool {
-	return a.Held || a.Last || a.Pass > 0
+	return a.Held || a.Last || a.Pass > 0 || a.Candidates <= 1
 }
 
 // settle turns the reason into what becomes of the opening.
@@ -192,6 +192,11 @@
 		}
 	case reason == DeadlinePassed:
 		return refusal(reason)
+	case reason == Draining && a.Candidates > 1 && a.Pass < closedPasses:
+		return Answer{
+			Next:   HandOn,
+			Reason: reason,
+		}
 	case a.hunts() && g.spend(a):
 		return Answer{
 			Next:   HandOn,
@@ -226,7 +231,7 @@
 
 // spent names the empty budget as the reason where a hand-over was due.
 func (g *Gate) spent(reason Reason) Reason {
-	if reason == Draining || reason == ConnectionsFull {
+	if reason == ConnectionsFull {
 		return reason
 	}
 	return RetryBudget
@@ -255,12 +260,12 @@
 }
 
 // holds tells whether waiting can help: a slot may come free here, or, where
-// connections are full or the endpoint drains, at another candidate.
+// connections are full, at another candidate.
 func (a Ask) holds(r Reason) bool {
 	switch r {
 	case SlotsFull, ColdStart, Shedding, RetryBudget:
 		return true
-	case ConnectionsFull, Draining:
+	case ConnectionsFull:
 		return a.Candidates > 1 && a.Pass < closedPasses
 	default:
 		return false
@@ -273,7 +278,7 @@
 	if a.Held {
 		return a.Candidates > 1
 	}
-	return !a.Last && a.Pass == 0
+	return !a.settled()
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/internal/flow/admit/line.go
+++ b/internal/flow/admit/line.go
@@ -21,7 +21,7 @@
 
 // Ready removes and gives the waiter that is to be asked for again, with Held
 // set: the first one whose time is over, else the oldest if there is room
-// for it. Call it until it gives none, after every call that frees
+// for it or the endpoint drains. Call it until it gives none, after every call that frees
 // a slot, and at the time that Wake gives.
 func (g *Gate) Ready(now time.Time) (w Waiter, ok bool) {
 	for i := range g.line {
@@ -29,7 +29,7 @@
 			return g.leave(i), true
 		}
 	}
-	if len(g.line) > 0 && g.room(now) {
+	if len(g.line) > 0 && (g.draining || g.room(now)) {
 		return g.leave(0), true
 	}
 	return w, false
@@ -60,7 +60,7 @@
 
 // room tells whether a waiter would be taken.
 func (g *Gate) room(now time.Time) bool {
-	return !g.draining && g.flows < g.limits.Connections && g.busy < g.hard(now)
+	return g.flows < g.limits.Connections && g.busy < g.hard(now)
 }
 
 func (g *Gate) leave(i int) Waiter {
