--- a/internal/flow/admit/gate.go
+++ b/internal/flow/admit/gate.go
@@ -178,7 +178,7 @@
 // settled tells that every other candidate has refused the opening, so that
 // only this endpoint's hard limits count.
 func (a Ask) settled() bool {
-	return a.Held || a.Last || a.Pass > 0
+	return a.Held || a.Last || a.Pass > 0 || a.Candidates <= 1
 }
 
 // settle turns the reason into what becomes of the opening.
@@ -192,7 +192,12 @@
 		}
 	case reason == DeadlinePassed:
 		return refusal(reason)
-	case a.hunts() && g.budget.Spend():
+	case reason == Draining && a.Candidates > 1 && a.Pass < closedPasses:
+		return Answer{
+			Next:   HandOn,
+			Reason: reason,
+		}
+	case a.hunts() && g.spend(a):
 		return Answer{
 			Next:   HandOn,
 			Reason: reason,
@@ -207,7 +212,7 @@
 	if a.hunts() {
 		reason = g.spent(reason)
 	}
-	if holds(reason) && !a.Deadline.IsZero() && len(g.line) < g.policy.Waiting(g.limits.Slots) {
+	if a.holds(reason) && !a.Deadline.IsZero() && len(g.line) < g.policy.Waiting(g.limits.Slots) {
 		return Answer{
 			Next:   Hold,
 			Reason: reason,
@@ -217,9 +222,16 @@
 	return refusal(reason)
 }
 
+func (g *Gate) spend(a Ask) bool {
+	if a.Held {
+		return g.budget.SpendAgain()
+	}
+	return g.budget.Spend()
+}
+
 // spent names the empty budget as the reason where a hand-over was due.
 func (g *Gate) spent(reason Reason) Reason {
-	if reason == Draining || reason == ConnectionsFull {
+	if reason == ConnectionsFull {
 		return reason
 	}
 	return RetryBudget
@@ -247,9 +259,17 @@
 	}
 }
 
-// holds tells whether waiting can help.
-func holds(r Reason) bool {
-	return r == SlotsFull || r == ColdStart || r == Shedding || r == RetryBudget
+// holds tells whether waiting can help: a slot may come free here, or, where
+// connections are full, at another candidate.
+func (a Ask) holds(r Reason) bool {
+	switch r {
+	case SlotsFull, ColdStart, Shedding, RetryBudget:
+		return true
+	case ConnectionsFull:
+		return a.Candidates > 1 && a.Pass < closedPasses
+	default:
+		return false
+	}
 }
 
 // hunts tells whether the opening goes on if this endpoint has no room: on the
@@ -258,7 +278,7 @@
 	if a.Held {
 		return a.Candidates > 1
 	}
-	return !a.Last && a.Pass == 0
+	return !a.settled()
 }
 
 func earlier(a, b time.Time) time.Time {
