--- a/internal/flow/owner/flow.go
+++ b/internal/flow/owner/flow.go
@@ -99,7 +99,9 @@
 		return ack == f.answer+1
 	}
 	low := f.answer + 1
-	if f.acked-low > windowBytes {
+	if f.state == lingering {
+		low = f.acked
+	} else if f.acked-low > windowBytes {
 		low = f.acked - windowBytes
 	}
 	return within(ack, low, f.sent)
