--- a/cmd/cwlab/table.go
+++ b/cmd/cwlab/table.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"github.com/clementinewing/clementinewing/internal/bench/broken"
 	"github.com/clementinewing/clementinewing/internal/bench/load"
 	"github.com/clementinewing/clementinewing/internal/bench/report"
 )
@@ -23,5 +24,20 @@
 			Usage: "spread of work over the upstreams, against other policies and a central queue",
 			Run:   load.Run,
 		},
+		{
+			Name:  "broken",
+			Usage: "flows broken while balancers and upstreams are replaced at random",
+			Run:   broken.Run,
+		},
+		{
+			Name:  "drain",
+			Usage: "time from an upstream's notice to its last new flow, and what is cut",
+			Run:   broken.Drain,
+		},
+		{
+			Name:  "hops",
+			Usage: "hand-overs a packet, memory and time a flow",
+			Run:   broken.Hops,
+		},
 	}
 }
--- /dev/null
+++ b/internal/bench/broken/hops.go
@@ -0,0 +1,137 @@
+package broken
+
+import (
+	"net/netip"
+	"runtime"
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/bench/report"
+	"github.com/clementinewing/clementinewing/internal/flow/admit"
+	"github.com/clementinewing/clementinewing/internal/flow/owner"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+)
+
+const (
+	hopsFor = 10 * time.Second
+	// heldFlows is how many flows the table holds whose cost is measured.
+	heldFlows = 100_000
+)
+
+// Hops measures the hand-overs a packet costs beyond its first, steady and under
+// change, and the memory and time that a flow costs its owner.
+func Hops(seeds int) (report.Result, error) {
+	r := report.Result{
+		Experiment: "hops",
+		Seeds:      seeds,
+	}
+	for _, d := range deployments {
+		var steady, changing, probes []float64
+		for seed := range uint64(seeds) {
+			s := d.hops(seed+1, false)
+			steady = append(steady, s.perPacket())
+			probes = append(probes, float64(s.Record.Probes)/hopsFor.Seconds()/float64(len(s.Agents)+len(s.Balancers)))
+			changing = append(changing, d.hops(seed+1, true).perPacket())
+		}
+		r.Rows = append(r.Rows,
+			report.Summarize(d.name+"_steady", "hand_overs/packet", report.Info, 0, steady),
+			report.Summarize(d.name+"_under_change", "hand_overs/packet", report.Info, 0, changing),
+			report.Summarize(d.name+"_probes", "1/s/process", report.Info, 0, probes),
+		)
+	}
+	var memory, deliver []float64
+	for range seeds {
+		bytes, each := cost()
+		memory = append(memory, bytes)
+		deliver = append(deliver, each)
+	}
+	r.Rows = append(r.Rows,
+		report.Summarize("flow_memory", "bytes", report.Info, 0, memory),
+		report.Summarize("deliver_time", "ns/packet", report.Info, 0, deliver),
+	)
+	return r, nil
+}
+
+func (d deployment) hops(seed uint64, changing bool) *traffic {
+	t := d.start(seed)
+	t.load(d, int(hopsFor/requestEvery))
+	if changing {
+		t.After(time.Second, t.change)
+	}
+	t.Run(hopsFor)
+	return t
+}
+
+func (t *traffic) perPacket() float64 {
+	return float64(t.Record.Passed) / float64(t.Record.Arrived)
+}
+
+// cost fills a table with open flows and gives the bytes that each takes and the
+// nanoseconds that a packet of one takes.
+func cost() (bytes, each float64) {
+	before := heap()
+	table := owner.New(owner.WithGate(admit.New(admit.Limits{
+		Slots:       heldFlows,
+		Connections: heldFlows,
+	})))
+	now := time.Unix(0, 0)
+	var out []owner.Action
+	for i := range uint32(heldFlows) {
+		out = open(table, now, i, out)
+	}
+	bytes = float64(heap()-before) / heldFlows
+	start := time.Now()
+	for i := range uint32(heldFlows) {
+		out = table.Step(now, arrived(i*7919%heldFlows, link.Continuing, 0x10), out[:0])
+	}
+	each = float64(time.Since(start).Nanoseconds()) / heldFlows
+	runtime.KeepAlive(table)
+	return bytes, each
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+func open(t *owner.Table, now time.Time, i uint32, out []owner.Action) []owner.Action {
+	out = t.Step(now, arrived(i, link.Opening, 0x02), out[:0])
+	key := arrived(i, link.Opening, 0).Packet.Key
+	out = t.Step(now, owner.Connected{
+		Key: key,
+	}, out[:0])
+	out = t.Step(now, owner.Answered{
+		Packet: link.Packet{
+			Key:            key,
+			Kind:           link.Continuing,
+			Flags:          0x12,
+			Sequence:       7,
+			Acknowledgment: 1,
+		},
+	}, out[:0])
+	return t.Step(now, arrived(i, link.Continuing, 0x10), out[:0])
+}
+
+func arrived(i uint32, kind link.Kind, flags uint8) owner.Arrived {
+	e := owner.Arrived{
+		Packet: link.Packet{
+			Key: link.Key{
+				Caller:     i,
+				Target:     1,
+				CallerPort: uint16(i),
+				TargetPort: 80,
+				Protocol:   6,
+			},
+			Kind:  kind,
+			Flags: flags,
+		},
+		Candidates: 3,
+		Balancer:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), 1),
+	}
+	if kind == link.Continuing {
+		e.Packet.Sequence = 1
+		e.Packet.Acknowledgment = 8
+	}
+	return e
+}
--- a/internal/fake/agent/act.go
+++ b/internal/fake/agent/act.go
@@ -21,9 +21,6 @@
 
 // extend adds the endpoints that this process knows and the list lacks.
 func (a *Agent) extend(m *Message) {
-	if m.Segment.Kind == link.Opening {
-		return
-	}
 	var missing []node.Endpoint
 	for _, e := range a.View {
 		known := slices.ContainsFunc(m.Candidates, func(c node.Endpoint) bool {
--- a/internal/fake/fleet/change.go
+++ b/internal/fake/fleet/change.go
@@ -188,3 +188,8 @@
 		Connections: connections,
 	})
 }
+
+// Leaving tells whether an endpoint has been told to stop.
+func (f *Fleet) Leaving(a *agent.Agent) bool {
+	return a.Endpoint.State == node.Draining || a.Endpoint.State == node.Gone
+}
--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -77,8 +77,10 @@
 	Misrouted int
 	// Owners lists by flow the side processes that took it.
 	Owners map[link.Key][]*agent.Agent
-	// Taken is the last time at which an endpoint took a new flow.
-	Taken map[*agent.Agent]time.Time
+	// Taken is the last time at which an endpoint took a new flow, Accepted the last
+	// at which it completed one's handshake.
+	Taken    map[*agent.Agent]time.Time
+	Accepted map[*agent.Agent]time.Time
 	// Emptied is when a drain ended.
 	Emptied map[*agent.Agent]time.Time
 	// Arrived and Passed count packets from the fabric and hand-overs.
@@ -102,10 +104,11 @@
 		Random:   rand.New(rand.NewPCG(seed, 1)),
 		Settings: s,
 		Record: Record{
-			Runs:    map[uint64]int{},
-			Owners:  map[link.Key][]*agent.Agent{},
-			Taken:   map[*agent.Agent]time.Time{},
-			Emptied: map[*agent.Agent]time.Time{},
+			Runs:     map[uint64]int{},
+			Owners:   map[link.Key][]*agent.Agent{},
+			Taken:    map[*agent.Agent]time.Time{},
+			Accepted: map[*agent.Agent]time.Time{},
+			Emptied:  map[*agent.Agent]time.Time{},
 		},
 		byKey:  map[link.Key]*stack.Caller{},
 		agents: map[netip.AddrPort]*agent.Agent{},
@@ -207,6 +210,7 @@
 	switch x := action.(type) {
 	case owner.Accept:
 		f.Record.Owners[x.Key] = append(f.Record.Owners[x.Key], a)
+		f.Record.Accepted[a] = f.Now()
 	case owner.Connect:
 		f.Record.Taken[a] = f.Now()
 	case owner.Abort:
