flow: hand on what names another service, so that the walk goes on

Found by the fault matrix, all pairs (peers_apart@handshake_half_done with upstream_dies_address_reused@upstream_connecting, case 3973): a side process of another service, new at a dead one's address, added endpoints of its own service to the list; they dropped the packet, and the owner behind them was never asked.

Ruled out: keeping the drop and trusting the list to be right: one confused sender would starve a flow. An endpoint that serves one service owns nothing of another, so its denial is true.

The stand-in now adds endpoints to messages of its own service alone; the adapter has to do the same.

--- a/internal/fake/agent/act.go
+++ b/internal/fake/agent/act.go
@@ -19,8 +19,12 @@
 // most is the longest list of candidates.
 const most = 16
 
-// extend adds the endpoints that this process knows and the list lacks.
+// extend adds the endpoints that this process knows and the list lacks. It knows
+// those of its own service alone.
 func (a *Agent) extend(m *Message) {
+	if m.Service != a.Endpoint.Service {
+		return
+	}
 	var missing []node.Endpoint
 	for _, e := range a.View {
 		known := slices.ContainsFunc(m.Candidates, func(c node.Endpoint) bool {
--- a/internal/flow/owner/arrive.go
+++ b/internal/flow/owner/arrive.go
@@ -11,12 +11,12 @@
 	if !e.valid() {
 		return t.drop(Malformed, out)
 	}
-	if e.Incarnation == t.incarnation && e.Service != t.service {
-		return t.drop(OtherService, out)
-	}
 	f := t.flows[e.Packet.Key]
-	if e.Incarnation != t.incarnation && (f == nil || e.Service != t.service) {
-		return t.pastLife(now, e, out)
+	switch {
+	case e.Incarnation == t.incarnation && e.Service != t.service:
+		return t.foreign(now, e, OtherService, out)
+	case e.Incarnation != t.incarnation && (f == nil || e.Service != t.service):
+		return t.foreign(now, e, OtherIncarnation, out)
 	}
 	if e.Packet.Kind == link.Opening {
 		return t.arrivedOpening(now, e, f, out)
@@ -24,13 +24,15 @@
 	return t.arrivedLater(now, e, f, out)
 }
 
-// pastLife denies for an incarnation that held this address before: a process
-// that has lost its address owns nothing any more.
-func (t *Table) pastLife(now time.Time, e *Arrived, out []Action) []Action {
+// foreign denies a packet that is not for this life of this endpoint. A life that
+// held this address before has lost it and owns nothing any more, and a life that
+// serves one service owns nothing of another; so the denial is true, while a drop
+// would end the walk before the owner is found.
+func (t *Table) foreign(now time.Time, e *Arrived, why Reason, out []Action) []Action {
 	if e.Packet.Kind == link.Opening {
-		return t.handOn(walkOf(e), e.Packet.Key, OtherIncarnation, out)
+		return t.handOn(walkOf(e), e.Packet.Key, why, out)
 	}
-	return t.deny(now, e, OtherIncarnation, out)
+	return t.deny(now, e, why, out)
 }
 
 // arrivedLater handles a packet after the opening.
--- a/internal/flow/owner/reason.go
+++ b/internal/flow/owner/reason.go
@@ -38,7 +38,7 @@
 	NotMine
 	// OtherIncarnation hands a packet on for a past life at this address.
 	OtherIncarnation
-	// OtherService drops a packet that names another service.
+	// OtherService hands a packet on that names another service.
 	OtherService
 	// Malformed drops a message whose positions make no sense.
 	Malformed
