flow: take packets by reference, so that none is allocated

Cause: a struct in an interface is allocated for each Step. Arrived and Answered are now taken by value or by reference.

--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -150,18 +150,24 @@
 
 // Step takes one event and appends to out what has to be done, in this order. A
 // Tick has to come at least twice a second; a longer gap means that the process
-// stood still.
+// stood still. Arrived and Answered may be passed by
+// reference, so that one of each serves all packets and none is allocated.
 func (t *Table) Step(now time.Time, e Event, out []Action) []Action {
 	if !t.ticked.IsZero() && now.Sub(t.ticked) > pausedAfter {
 		t.wake(now)
 	}
 	switch e := e.(type) {
+	case *Arrived:
+		return t.arrived(now, e, out)
 	case Arrived:
 		return t.arrived(now, &e, out)
 	case Connected:
 		return t.connected(now, e, out)
 	case Failed:
 		return t.failed(now, e, out)
+	case *Answered:
+		t.answered(now, &e.Packet)
+		return out
 	case Answered:
 		t.answered(now, &e.Packet)
 		return out
