--- a/cmd/cwlab/table.go
+++ b/cmd/cwlab/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/clementinewing/clementinewing/internal/bench/fleet"
+	"github.com/clementinewing/clementinewing/internal/bench/broken"
 	"github.com/clementinewing/clementinewing/internal/bench/load"
 	"github.com/clementinewing/clementinewing/internal/bench/report"
 )
@@ -29,5 +30,20 @@
 			Usage: "time until every balancer has a change, by size and loss",
 			Run:   fleet.Spread,
 		},
+		{
+			Name:  "broken",
+			Usage: "flows broken while balancers and upstreams are replaced at random",
+			Run:   broken.Run,
+		},
+		{
+			Name:  "drain",
+			Usage: "time from an upstream's notice to its last new flow, and what is cut",
+			Run:   broken.Drain,
+		},
+		{
+			Name:  "hops",
+			Usage: "hand-overs a packet, memory and time a flow",
+			Run:   broken.Hops,
+		},
 	}
 }
