--- a/internal/board/chair/decide.go
+++ b/internal/board/chair/decide.go
@@ -39,7 +39,7 @@
 	if d.File != h.Roster.Name {
 		return head.Refuse(head.ForeignFile, "the decision is about %q, the file in force is named %q", d.File, h.Roster.Name)
 	}
-	if r := checkSigner(h, d); r != nil {
+	if r := CheckSigner(h.Roster, d); r != nil {
 		return r
 	}
 	if d.Revision != h.Record.Revision {
@@ -48,16 +48,17 @@
 	return checkFiles(h, d)
 }
 
-func checkSigner(h head.Head, d sign.Decision) *head.RefusalError {
-	operator, ok := h.Roster.Operator(d.Chair)
+// CheckSigner checks that the chair of the roster signed a decision.
+func CheckSigner(r head.Roster, d sign.Decision) *head.RefusalError {
+	operator, ok := r.Operator(d.Chair)
 	if !ok {
 		return head.Refuse(head.UnknownOperator, "%q is no operator of the file in force", d.Chair)
 	}
 	if !d.Signed(operator.Key) {
 		return head.Refuse(head.BadSignature, "the signature is not by the key of %s in the file in force", d.Chair)
 	}
-	if d.Chair != h.Roster.Chair {
-		return head.Refuse(head.NotYours, "%s decides, not %s", h.Roster.Chair, d.Chair)
+	if d.Chair != r.Chair {
+		return head.Refuse(head.NotYours, "%s decides, not %s", r.Chair, d.Chair)
 	}
 	return nil
 }
--- a/internal/edge/store/client.go
+++ b/internal/edge/store/client.go
@@ -123,6 +123,9 @@
 		Key:   key,
 		After: after,
 	})
+	if status.Code(err) == codes.DeadlineExceeded {
+		return e, ErrAway
+	}
 	if err != nil {
 		return e, c.failed("watch", err)
 	}
