cmd: check, apply, decide, history and keygen

Thin commands over the machines of the board, with exit codes for scripts: 0 in force, 1 wrong call, 2 faults, 3 waiting for the chair, 4 refused, 5 no answer. A script of 25 commands runs them against one stand-in on loopback, with the store down and with the answer to a write lost. It found that decide and history waited their whole patience for the first lost answer; they read again now.

--- /dev/null
+++ b/cmd/clementinewing/keygen.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"crypto/ed25519"
+	"fmt"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/clementinewing/clementinewing/internal/board/sign"
+)
+
+func keygenCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "keygen",
+		Usage: "make an operator's Ed25519 key",
+		Description: "Writes the key to a new file that only its owner may read, and prints the line\n" +
+			"that goes under [operator NAME]. An existing file is left as it is.",
+		Flags: []cli.Flag{
+			keyFlag(),
+		},
+		Action: keygen,
+	}
+}
+
+func keygen(_ context.Context, c *cli.Command) (err error) {
+	defer func() { err = eris.Wrap(err, "making a key") }()
+	_, key, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		return err
+	}
+	out, err := os.OpenFile(c.String("key"), os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = out.WriteString(sign.FormatKey(key))
+	if err != nil {
+		return err
+	}
+	if err = out.Close(); err != nil {
+		return err
+	}
+	fmt.Fprintf(os.Stdout, "key = %s\n", sign.FormatPublic(key))
+	return nil
+}
--- /dev/null
+++ b/cmd/clementinewing/operators_test.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/clementinewing/clementinewing/internal/board/sign"
+	fake "github.com/clementinewing/clementinewing/internal/fake/store"
+)
+
+// operators runs the commands of a script in one store on loopback.
+type operators struct {
+	t       *testing.T
+	dir     string
+	address string
+	service *fake.Service
+	ids     map[string]string
+}
+
+func TestOperatorsCommands(t *testing.T) {
+	o := newOperators(t)
+	script, err := os.ReadFile("testdata/operators.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	count := 0
+	for line := range strings.Lines(string(script)) {
+		line = strings.TrimSpace(line)
+		if line == "" || line[0] == '#' {
+			continue
+		}
+		count++
+		o.line(line)
+	}
+	if count == 0 {
+		t.Fatal("the script is empty")
+	}
+}
+
+func newOperators(t *testing.T) *operators {
+	o := &operators{
+		t:       t,
+		dir:     t.TempDir(),
+		service: fake.New(),
+		ids:     map[string]string{},
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.address = listener.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- fake.Serve(ctx, listener, o.service) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	for _, n := range []string{"alma", "bero", "cilli", "stranger"} {
+		o.write(n, sign.FormatKey(o.key(n)))
+	}
+	o.write("faulty.ini", "[file]\nname = A\n")
+	o.write("foreign.ini", strings.Replace(o.file("3", "alma"), "suedhang", "nileroll", 1))
+	return o
+}
+
+func (o *operators) key(name string) ed25519.PrivateKey {
+	seed := make([]byte, ed25519.SeedSize)
+	copy(seed, name)
+	return ed25519.NewKeyFromSeed(seed)
+}
+
+// file is one on a base, with a service that the operator names.
+func (o *operators) file(base, mark string) string {
+	text := fmt.Sprintf("[file]\nname = suedhang\nbase = %s\nchair = alma\n", base)
+	for _, n := range []string{"alma", "bero", "cilli"} {
+		text += fmt.Sprintf("[operator %s]\nkey = %s\n", n, sign.FormatPublic(o.key(n)))
+	}
+	return text + fmt.Sprintf("[service %s]\naddress = 10.7.0.1:443\ncontract = once\n", mark)
+}
+
+func (o *operators) write(name, text string) string {
+	path := filepath.Join(o.dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		o.t.Fatal(err)
+	}
+	return path
+}
+
+func (o *operators) line(line string) {
+	command, want, _ := strings.Cut(line, " => ")
+	command, keep, _ := strings.Cut(command, " id ")
+	words := strings.Fields(command)
+	arguments := []string{"clementinewing"}
+	for _, w := range words[1:] {
+		arguments = append(arguments, o.word(w)...)
+	}
+	if words[1] != "check" {
+		arguments = append(arguments, "--store", o.address, "--insecure")
+	}
+	out, code := o.run(arguments)
+	o.service.Set(fake.Faults{})
+	if fmt.Sprint(code) != words[0] {
+		o.t.Fatalf("%s\ngave exit code %d:\n%s", line, code, out)
+	}
+	if !strings.Contains(strings.ReplaceAll(out, " ", "_"), want) {
+		o.t.Fatalf("%s\ngave:\n%s", line, out)
+	}
+	if keep != "" {
+		var printed outcome
+		if err := json.Unmarshal([]byte(out), &printed); err != nil {
+			o.t.Fatal(err)
+		}
+		o.ids[keep] = printed.ID.String()
+	}
+}
+
+// word gives the arguments that a word of the script stands for.
+func (o *operators) word(w string) []string {
+	name, isFile := strings.CutPrefix(w, "@")
+	base, mark, marked := strings.Cut(name, "-")
+	id, isID := strings.CutPrefix(w, "$")
+	switch {
+	case w == "down":
+		o.service.Set(fake.Faults{
+			Down: true,
+		})
+		return nil
+	case w == "lost":
+		o.service.Set(fake.Faults{
+			LoseWrites: 1,
+		})
+		return nil
+	case isFile && marked:
+		return []string{o.write(name+".ini", o.file(base, mark))}
+	case isFile && (name == "faulty" || name == "foreign"):
+		return []string{filepath.Join(o.dir, name+".ini")}
+	case isFile:
+		return []string{filepath.Join(o.dir, name)}
+	case isID:
+		return []string{o.ids[id]}
+	default:
+		return []string{w}
+	}
+}
+
+// run gives what a command printed and the exit code it asks for.
+func (o *operators) run(arguments []string) (out string, code int) {
+	read, write, err := os.Pipe()
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	stdout, stderr := os.Stdout, os.Stderr
+	os.Stdout, os.Stderr = write, write
+	printed := make(chan string, 1)
+	go func() {
+		text, _ := io.ReadAll(read)
+		printed <- string(text)
+	}()
+	app := &cli.Command{
+		Name:           "clementinewing",
+		Commands:       commands(),
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	err = app.Run(ctx, arguments)
+	var exit cli.ExitCoder
+	switch {
+	case errors.As(err, &exit):
+		code = exit.ExitCode()
+		fmt.Fprintln(write, err)
+	case err != nil:
+		code = 1
+		fmt.Fprintln(write, err)
+	}
+	os.Stdout, os.Stderr = stdout, stderr
+	_ = write.Close()
+	return <-printed, code
+}
--- a/cmd/clementinewing/table.go
+++ b/cmd/clementinewing/table.go
@@ -9,5 +9,10 @@
 		agentCommand(),
 		showCommand(),
 		demoCommand(),
+		checkCommand(),
+		applyCommand(),
+		decideCommand(),
+		historyCommand(),
+		keygenCommand(),
 	}
 }
--- a/internal/board/head/mover.go
+++ b/internal/board/head/mover.go
@@ -8,8 +8,8 @@
 
 // Waits between the tries of one operator's command.
 const (
-	leastWait = 100 * time.Millisecond
-	mostWait  = 5 * time.Second
+	LeastWait = 100 * time.Millisecond
+	MostWait  = 5 * time.Second
 )
 
 // Mover moves the head by compare-and-swap: it reads the head, lets a change be
@@ -30,7 +30,7 @@
 func NewMover(deadline time.Time, seed uint64) Mover {
 	return Mover{
 		deadline: deadline,
-		backoff:  retry.New(seed, leastWait, mostWait),
+		backoff:  retry.New(seed, LeastWait, MostWait),
 	}
 }
 
--- a/internal/edge/board/run.go
+++ b/internal/edge/board/run.go
@@ -6,7 +6,10 @@
 	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/clementinewing/clementinewing/internal/board/head"
+	"github.com/clementinewing/clementinewing/internal/board/retry"
 	"github.com/clementinewing/clementinewing/internal/edge/store"
 )
 
@@ -38,6 +41,31 @@
 	}
 }
 
+// ReadHead reads the head, and tries again after calls without an answer until
+// the deadline.
+func ReadHead(ctx context.Context, s store.Store, deadline time.Time, seed uint64) (h head.Head, err error) {
+	defer func() { err = eris.Wrap(err, "reading the head") }()
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	backoff := retry.New(seed, head.LeastWait, head.MostWait)
+	for {
+		e, err := read(ctx, s, head.Key)
+		if err == nil {
+			return head.Decode(e.Value)
+		}
+		sleep(ctx, backoff.Next(time.Now()))
+		if ctx.Err() != nil {
+			return h, err
+		}
+	}
+}
+
+func read(ctx context.Context, s store.Store, key string) (store.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return s.Get(ctx, key)
+}
+
 func do(ctx context.Context, s store.Store, a head.Action) head.Event {
 	switch a := a.(type) {
 	case head.Get:
@@ -52,9 +80,7 @@
 }
 
 func get(ctx context.Context, s store.Store, a head.Get) head.Event {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	e, err := s.Get(ctx, a.Key)
+	e, err := read(ctx, s, a.Key)
 	if err != nil {
 		return head.Away{}
 	}
--- a/internal/fake/store/service.go
+++ b/internal/fake/store/service.go
@@ -20,6 +20,8 @@
 	LateMillis int
 	// LoseAnswers is how many answers are lost after the call took effect.
 	LoseAnswers int
+	// LoseWrites is how many answers to swaps are lost in this way.
+	LoseWrites int
 	// DropWatches makes watches wait for ever.
 	DropWatches bool
 }
@@ -70,6 +72,9 @@
 		return e, err
 	}
 	e, swapped := s.Memory.Swap(key, version, value)
+	if s.loseWrite() {
+		return store.Entry{}, wait(ctx, -1)
+	}
 	if err = s.after(ctx); err != nil {
 		return store.Entry{}, err
 	}
@@ -151,6 +156,16 @@
 	return wait(ctx, f.LateMillis)
 }
 
+func (s *Service) loseWrite() bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	lose := s.faults.LoseWrites > 0
+	if lose {
+		s.faults.LoseWrites--
+	}
+	return lose
+}
+
 // wait passes millis, below 0 for ever, or gives ErrAway if ctx ends first.
 func wait(ctx context.Context, millis int) error {
 	if millis == 0 {
