--- a/cmd/cwlab/table.go
+++ b/cmd/cwlab/table.go
@@ -1,8 +1,8 @@
 package main
 
 import (
-	"github.com/clementinewing/clementinewing/internal/bench/fleet"
 	"github.com/clementinewing/clementinewing/internal/bench/broken"
+	"github.com/clementinewing/clementinewing/internal/bench/fleet"
 	"github.com/clementinewing/clementinewing/internal/bench/load"
 	"github.com/clementinewing/clementinewing/internal/bench/report"
 )
