front: put files of the store and of peers in force

A balancer follows the head in the store with a few watchers a failure domain and fetches the rest from peers; the local trial applies a signed file, and the demonstration applies, collides and decides files and takes the store away.

--- a/cmd/clementinewing/balancer.go
+++ b/cmd/clementinewing/balancer.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"os"
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/clementinewing/clementinewing/internal/board/file"
 	"github.com/clementinewing/clementinewing/internal/conf/roles"
 	"github.com/clementinewing/clementinewing/internal/edge/meter"
 	"github.com/clementinewing/clementinewing/internal/role/front"
@@ -21,10 +19,6 @@
 			"reads the keys again.",
 		Flags: []cli.Flag{
 			settingsFlag(),
-			&cli.StringFlag{
-				Name:  "file",
-				Usage: "path of an operators' file to put in force without a store, for a trial",
-			},
 		},
 		Action: runBalancer,
 	}
@@ -44,11 +38,17 @@
 		return err
 	}
 	logger := newLogger(settings.Common, "balancer")
-	f, err := front.New(settings, front.WithLogger(logger), front.WithCredentials(server, client))
+	s, closeStore, err := settingsStore(settings.Common, client)
 	if err != nil {
 		return err
 	}
-	err = setTrialFile(f, c.String("file"))
+	defer closeStore()
+	f, err := front.New(
+		settings,
+		front.WithLogger(logger),
+		front.WithCredentials(server, client),
+		front.WithStore(s),
+	)
 	if err != nil {
 		return err
 	}
@@ -67,19 +67,3 @@
 	defer end()
 	return f.Run(drain, kill)
 }
-
-func setTrialFile(f *front.Front, path string) (err error) {
-	if path == "" {
-		return nil
-	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return err
-	}
-	parsed, err := file.Parse(path, text)
-	if err != nil {
-		return err
-	}
-	f.SetFile(parsed)
-	return nil
-}
--- a/cmd/clementinewing/run.go
+++ b/cmd/clementinewing/run.go
@@ -15,6 +15,7 @@
 
 	"github.com/clementinewing/clementinewing/internal/conf/roles"
 	"github.com/clementinewing/clementinewing/internal/edge/meter"
+	"github.com/clementinewing/clementinewing/internal/edge/store"
 	"github.com/clementinewing/clementinewing/internal/edge/trust"
 )
 
@@ -58,6 +59,14 @@
 	})
 }
 
+// settingsStore connects to the store that the settings name, if they name one.
+func settingsStore(common roles.Common, client credentials.TransportCredentials) (s store.Store, closeStore func(), err error) {
+	if !common.Store.Address.IsValid() {
+		return nil, func() {}, nil
+	}
+	return dialStore(common.Store.Address.String(), client)
+}
+
 // signals gives a context that ends with the first SIGTERM or SIGINT, and one
 // that ends with the second.
 func signals(ctx context.Context) (drain, kill context.Context, stop func()) {
--- a/cmd/clementinewing/store.go
+++ b/cmd/clementinewing/store.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/clementinewing/clementinewing/internal/board/head"
@@ -91,7 +92,7 @@
 	if c.String("store") == "" {
 		return nil, nil, errNoStore
 	}
-	secret := insecure.NewCredentials()
+	var secret credentials.TransportCredentials
 	if !c.Bool("insecure") {
 		files := roles.TLS{
 			Certificate: c.String("certificate"),
@@ -106,7 +107,16 @@
 			return nil, nil, err
 		}
 	}
-	connection, err := grpc.NewClient(c.String("store"), grpc.WithTransportCredentials(secret))
+	return dialStore(c.String("store"), secret)
+}
+
+// dialStore connects to the store in the clear without credentials.
+func dialStore(address string, secret credentials.TransportCredentials) (s store.Store, closeStore func(), err error) {
+	defer func() { err = eris.Wrapf(err, "connecting to the store at %s", address) }()
+	if secret == nil {
+		secret = insecure.NewCredentials()
+	}
+	connection, err := grpc.NewClient(address, grpc.WithTransportCredentials(secret))
 	if err != nil {
 		return nil, nil, err
 	}
--- a/cmd/cwfake/main.go
+++ b/cmd/cwfake/main.go
@@ -20,6 +20,7 @@
 		Usage: "stand-ins for the fabric, the store, upstreams and callers, on loopback",
 		Commands: []*cli.Command{
 			fabricCommand(),
+			storeCommand(),
 			originCommand(),
 			callerCommand(),
 		},
--- a/examples/local/run.sh
+++ b/examples/local/run.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
-# Runs the whole path on loopback as separate processes: a fabric stand-in, two
-# balancers, three upstreams with a side process each, and a caller. Every packet
-# of the caller's requests may meet another balancer. Prints the answers, stops
-# everything it started and exits with the caller's code.
+# Runs the whole path on loopback as separate processes: store and fabric stand-ins,
+# two balancers, three upstreams with a side process each, an operator who applies
+# a file, and a caller. Every packet of the caller's requests may meet another
+# balancer. Prints the answers, stops everything it started and exits with the
+# caller's code.
 #
 # usage: examples/local/run.sh [REQUESTS]
 set -euo pipefail
@@ -42,6 +43,8 @@
   --balancer "127.0.0.1:$((base + 10))" --balancer "127.0.0.1:$((base + 20))" \
   --loss 0.01 --double 0.01 --reorder 0.05
 
+start store "$work/cwfake" store --listen "127.0.0.1:$((base + 5))"
+
 for n in 1 2; do
   cat >"$work/balancer-$n.ini" <<END
 [balancer]
@@ -53,9 +56,11 @@
 control = 127.0.0.1:$((base + 10 * n + 2))
 status = 127.0.0.1:$((base + 10 * n + 3))
 contacts = $contacts
+[store]
+address = 127.0.0.1:$((base + 5))
 $common
 END
-  start "balancer-$n" "$work/clementinewing" balancer --settings "$work/balancer-$n.ini" --file examples/local/file.ini
+  start "balancer-$n" "$work/clementinewing" balancer --settings "$work/balancer-$n.ini"
 done
 
 for n in 1 2 3; do
@@ -78,6 +83,10 @@
   start "agent-$n" "$work/clementinewing" agent --settings "$work/agent-$n.ini"
 done
 
+public=$("$work/clementinewing" keygen --key "$work/operator.key")
+sed "s|^key = .*|$public|" examples/local/file.ini >"$work/file.ini"
+"$work/clementinewing" apply --insecure --store "127.0.0.1:$((base + 5))" --key "$work/operator.key" "$work/file.ini"
+
 # Both balancers must know all three endpoints before the first request.
 for n in 1 2; do
   known=0
--- a/internal/demo/play/play.go
+++ b/internal/demo/play/play.go
@@ -147,7 +147,11 @@
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
 	p.did(fmt.Sprintf("%s: %d balancers and %d upstreams started", d.Name, d.Balancers, endpoints), nil)
-	return h.stage.AwaitView(ctx, endpoints)
+	err = h.stage.AwaitView(ctx, endpoints)
+	if err != nil {
+		return err
+	}
+	return h.stage.Apply(ctx, "")
 }
 
 func (h *house) addCallers(sc *score.Score, spec stage.Service) (err error) {
--- a/internal/demo/play/script.go
+++ b/internal/demo/play/script.go
@@ -20,6 +20,12 @@
 		p.killBalancer,
 		p.addUpstream,
 		p.killUpstream,
+		p.applyFile,
+		p.collideFiles,
+		p.storeDown,
+		p.addBalancer,
+		p.awaitNewest,
+		p.storeUp,
 	}
 	wait(ctx, 2*pause)
 	for _, a := range acts {
@@ -93,6 +99,34 @@
 	return u.Name + " killed", nil
 }
 
+func (p *Play) applyFile(ctx context.Context, h *house) (what string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	return "file applied and in force everywhere", h.stage.Apply(ctx, upstreamName(h, 0, 3))
+}
+
+func (p *Play) collideFiles(ctx context.Context, h *house) (what string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	return "two files collided and the chair's is in force everywhere", h.stage.Collide(ctx, upstreamName(h, 0, 4), upstreamName(h, 0, 5))
+}
+
+func (p *Play) storeDown(_ context.Context, h *house) (what string, err error) {
+	h.stage.SetStoreDown(true)
+	return "store down", nil
+}
+
+func (p *Play) storeUp(_ context.Context, h *house) (what string, err error) {
+	h.stage.SetStoreDown(false)
+	return "store back", nil
+}
+
+func (p *Play) awaitNewest(ctx context.Context, h *house) (what string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	return "the balancer that joined without a store has the newest file", h.stage.AwaitNewest(ctx)
+}
+
 func upstreamName(h *house, service, number int) string {
 	return fmt.Sprintf("%s-%d", h.stage.Deployment.Services[service].Name, number)
 }
--- a/internal/demo/stage/balancer.go
+++ b/internal/demo/stage/balancer.go
@@ -36,18 +36,17 @@
 	b.front, err = front.New(roles.Balancer{
 		Common: s.common(b.Name, s.contacts()),
 		Fabric: anywhere,
-	}, front.WithCredentials(s.server, s.client))
+	}, front.WithCredentials(s.server, s.client), front.WithStore(s.committee.store))
 	if err != nil {
 		return nil, err
 	}
 	stop, endStop := context.WithCancel(context.Background())
 	kill, endKill := context.WithCancel(context.Background())
 	b.stop, b.kill = endStop, endKill
-	s.running.Go(func() {
+	s.tasks.Go(func() {
 		defer close(b.done)
 		_ = b.front.Run(stop, kill)
 	})
-	b.front.SetFile(s.file)
 	s.balancers = append(s.balancers, b)
 	s.spray()
 	return b, nil
--- a/internal/demo/stage/deployment.go
+++ b/internal/demo/stage/deployment.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/clementinewing/clementinewing/internal/board/file"
 	"github.com/clementinewing/clementinewing/internal/world/pact"
 )
 
@@ -82,20 +81,3 @@
 		Feeds:     feedsAtOnce * endpoints,
 	}
 }
-
-// file is the operators' file of the deployment.
-func (d Deployment) file() (f file.File) {
-	f.Name = d.Name
-	for _, s := range d.Services {
-		f.Services = append(f.Services, file.Service{
-			Pact: pact.Service{
-				Name:     s.Name,
-				ID:       pact.Identify(s.Name),
-				Address:  s.Address,
-				Protocol: pact.TCP,
-				Contract: s.Contract,
-			},
-		})
-	}
-	return f
-}
--- a/internal/demo/stage/stage.go
+++ b/internal/demo/stage/stage.go
@@ -12,7 +12,6 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc/credentials"
 
-	"github.com/clementinewing/clementinewing/internal/board/file"
 	"github.com/clementinewing/clementinewing/internal/conf/roles"
 	"github.com/clementinewing/clementinewing/internal/edge/keys"
 	"github.com/clementinewing/clementinewing/internal/edge/trust"
@@ -35,10 +34,10 @@
 	server     credentials.TransportCredentials
 	client     credentials.TransportCredentials
 	keys       *keys.Set
-	file       file.File
+	committee  *Committee
 	ctx        context.Context
 	cancel     context.CancelFunc
-	running    sync.WaitGroup
+	tasks      sync.WaitGroup
 
 	mutex     sync.Mutex
 	balancers []*Balancer
@@ -60,7 +59,10 @@
 		Deployment: d,
 		Ledger:     origin.NewLedger(),
 		upstreams:  map[string]*Upstream{},
-		file:       d.file(),
+	}
+	s.committee, err = newCommittee(d)
+	if err != nil {
+		return nil, err
 	}
 	s.keys, err = drawKeys()
 	if err != nil {
@@ -75,7 +77,7 @@
 		return nil, err
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.running.Go(func() { s.fabric.Run(s.ctx) })
+	s.tasks.Go(func() { s.fabric.Run(s.ctx) })
 	return s, nil
 }
 
@@ -122,7 +124,7 @@
 	}
 	s.mutex.Unlock()
 	s.cancel()
-	s.running.Wait()
+	s.tasks.Wait()
 }
 
 // common gives what the settings of every role share. Machines are put into the
@@ -157,7 +159,19 @@
 // AwaitView waits until every balancer knows the given number of endpoints.
 func (s *Stage) AwaitView(ctx context.Context, endpoints int) (err error) {
 	defer func() { err = eris.Wrapf(err, "waiting for %d endpoints at every balancer", endpoints) }()
-	for !s.knows(endpoints) {
+	return await(ctx, func() bool {
+		for _, b := range s.running() {
+			if len(b.front.State().Endpoints) != endpoints {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// await polls until done says so or ctx ends.
+func await(ctx context.Context, done func() bool) error {
+	for !done() {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -167,15 +181,16 @@
 	return nil
 }
 
-const pollInterval = 50 * time.Millisecond
-
-func (s *Stage) knows(endpoints int) bool {
+// running gives the balancers that have not been stopped or killed.
+func (s *Stage) running() (out []*Balancer) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, b := range s.balancers {
-		if !b.gone && len(b.front.State().Endpoints) != endpoints {
-			return false
+		if !b.gone {
+			out = append(out, b)
 		}
 	}
-	return true
+	return out
 }
+
+const pollInterval = 50 * time.Millisecond
--- a/internal/demo/stage/upstream.go
+++ b/internal/demo/stage/upstream.go
@@ -58,7 +58,7 @@
 	drain, endDrain := context.WithCancel(context.Background())
 	kill, endKill := context.WithCancel(context.Background())
 	u.drain, u.kill = endDrain, endKill
-	s.running.Go(func() {
+	s.tasks.Go(func() {
 		defer close(u.done)
 		u.side.Run(drain, kill)
 	})
--- a/internal/edge/follow/follow.go
+++ b/internal/edge/follow/follow.go
@@ -1,14 +1,14 @@
-// Package follow runs a node's adopt machine against the store and its peers.
+// Package follow runs a balancer's side of the file in force: board/adopt over the
+// store and over peers, on the real clock.
 package follow
 
 import (
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-
 	"github.com/clementinewing/clementinewing/internal/board/adopt"
 	"github.com/clementinewing/clementinewing/internal/board/file"
 	"github.com/clementinewing/clementinewing/internal/board/head"
@@ -16,68 +16,53 @@
 )
 
 const (
-	// tickEvery is the interval of the machine's ticks.
-	tickEvery = 100 * time.Millisecond
-	// queueLength bounds the events that wait for the machine.
-	queueLength = 64
+	tickInterval = 200 * time.Millisecond
+	queueEvents  = 64
 )
 
-// Peers fetches a part by its hash in hex from any other node that has it.
+// Peers gives the parts of accepted files that other balancers hold.
 type Peers interface {
-	FetchFile(ctx context.Context, hash string) ([]byte, error)
+	FetchFile(ctx context.Context, hash string) (content []byte, err error)
 }
 
-// Follower keeps the file in force on this node.
+// Follower keeps a balancer at the file in force.
 type Follower struct {
 	store   store.Store
 	peers   Peers
-	scope   tally.Scope
-	adopted func(*adopt.Held)
 	machine *adopt.Machine
 	events  chan adopt.Event
-
-	lock sync.RWMutex
-	// held and before are the file in force and the one before it, for peers
-	// that are still fetching.
-	held   *adopt.Held
-	before *adopt.Held
+	adopted func(*adopt.Held)
+	refused func(adopt.Refuse)
+	held    atomic.Pointer[adopt.Held]
+	calls   sync.WaitGroup
 }
 
 // Option sets one property of a Follower.
 type Option func(*Follower)
 
-// WithPeers fetches from peers too.
-func WithPeers(p Peers) Option {
-	return func(f *Follower) {
-		f.peers = p
-	}
-}
-
-// WithScope counts in scope: adoptions, refusals by reason, calls without an
-// answer.
-func WithScope(s tally.Scope) Option {
-	return func(f *Follower) {
-		f.scope = s
+// WithAdopted is told of each file that is put in force, in order.
+func WithAdopted(f func(*adopt.Held)) Option {
+	return func(o *Follower) {
+		o.adopted = f
 	}
 }
 
-// WithAdopted calls back with each file that comes in force on this node, in the
-// order of their revisions and from one goroutine.
-func WithAdopted(adopted func(*adopt.Held)) Option {
-	return func(f *Follower) {
-		f.adopted = adopted
+// WithRefused is told of each revision that is not put in force.
+func WithRefused(f func(adopt.Refuse)) Option {
+	return func(o *Follower) {
+		o.refused = f
 	}
 }
 
-// New makes the follower of the node with a name, unlike any other node's; seed
-// draws its jitter.
+// New makes the follower of the node called self; seed draws its jitter. A nil
+// store is one that is always away.
 func New(self string, seed uint64, s store.Store, options ...Option) *Follower {
 	f := &Follower{
 		store:   s,
-		scope:   tally.NoopScope,
-		adopted: func(*adopt.Held) {},
 		machine: adopt.New(self, seed),
-		events:  make(chan adopt.Event, queueLength),
+		events:  make(chan adopt.Event, queueEvents),
+		adopted: func(*adopt.Held) {},
+		refused: func(adopt.Refuse) {},
 	}
 	for _, o := range options {
 		o(f)
@@ -85,122 +70,121 @@
 	return f
 }
 
-// Held is the file in force on this node, nil before the first.
+// SetPeers sets where parts come from besides the store; call it before Run.
+func (f *Follower) SetPeers(p Peers) {
+	f.peers = p
+}
+
+// Held is the file in force, nil before the first.
 func (f *Follower) Held() *adopt.Held {
-	f.lock.RLock()
-	defer f.lock.RUnlock()
-	return f.held
+	return f.held.Load()
 }
 
-// File gives a part of the file in force, or of the one before, to a peer.
+// File gives a part of the file in force to a peer.
 func (f *Follower) File(hash string) (content []byte, ok bool) {
-	var h file.Hash
-	if h.UnmarshalText([]byte(hash)) != nil {
+	h := f.held.Load()
+	if h == nil {
 		return nil, false
 	}
-	f.lock.RLock()
-	defer f.lock.RUnlock()
-	for _, held := range []*adopt.Held{f.held, f.before} {
-		if held == nil {
-			continue
-		}
-		if content, ok = held.Parts[h]; ok {
-			return content, true
-		}
+	var sum file.Hash
+	if sum.UnmarshalText([]byte(hash)) != nil {
+		return nil, false
 	}
-	return nil, false
+	content, ok = h.Parts[sum]
+	return content, ok
 }
 
-// Heard tells that a peer has a revision, named by its record's hash in hex.
-func (f *Follower) Heard(ctx context.Context, revision uint64, hash string) {
-	var h file.Hash
-	if h.UnmarshalText([]byte(hash)) != nil {
-		f.scope.Counter("board_bad_hash").Inc(1)
-		return
-	}
-	f.send(ctx, adopt.Heard{
+// Heard tells that a peer has a later revision in force. It does not wait: what
+// finds no room is heard again with the next change or read from the store.
+func (f *Follower) Heard(revision uint64, record file.Hash) {
+	f.offer(adopt.Heard{
 		Revision: revision,
-		Record:   h,
+		Record:   record,
 	})
 }
 
-// Members tells who is in this node's failure domain, itself included.
-func (f *Follower) Members(ctx context.Context, names []string) {
-	f.send(ctx, adopt.Members{
+// Members names the balancers of the node's own failure domain, itself included.
+func (f *Follower) Members(names []string) {
+	f.offer(adopt.Members{
 		Names: names,
 	})
 }
 
-// Run follows until the context ends.
+func (f *Follower) offer(e adopt.Event) {
+	select {
+	case f.events <- e:
+	default:
+	}
+}
+
+// Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	var calls sync.WaitGroup
-	defer calls.Wait()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	ticker := time.NewTicker(tickEvery)
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	var event adopt.Event = adopt.Begin{}
+	f.step(ctx, adopt.Begin{})
 	for {
-		for _, a := range f.machine.Step(time.Now(), event) {
-			f.do(ctx, &calls, a)
-		}
 		select {
 		case <-ctx.Done():
+			f.calls.Wait()
 			return
-		case event = <-f.events:
+		case e := <-f.events:
+			f.step(ctx, e)
 		case <-ticker.C:
-			event = adopt.Tick{}
+			f.step(ctx, adopt.Tick{})
 		}
 	}
 }
 
-func (f *Follower) do(ctx context.Context, calls *sync.WaitGroup, a adopt.Action) {
-	switch a := a.(type) {
-	case adopt.Watch:
-		calls.Go(func() { f.send(ctx, f.watch(ctx, a)) })
-	case adopt.Fetch:
-		calls.Go(func() { f.send(ctx, f.fetch(ctx, a)) })
-	case adopt.Adopt:
-		f.adopt(a.Held)
-	case adopt.Refuse:
-		f.scope.Tagged(map[string]string{"reason": string(a.Reason)}).Counter("board_refused").Inc(1)
+func (f *Follower) step(ctx context.Context, e adopt.Event) {
+	for _, a := range f.machine.Step(time.Now(), e) {
+		switch a := a.(type) {
+		case adopt.Watch:
+			f.call(ctx, a.Deadline, func(ctx context.Context) adopt.Event { return f.watch(ctx, a) })
+		case adopt.Fetch:
+			f.call(ctx, a.Deadline, func(ctx context.Context) adopt.Event { return f.fetch(ctx, a) })
+		case adopt.Adopt:
+			f.held.Store(a.Held)
+			f.adopted(a.Held)
+		case adopt.Refuse:
+			f.refused(a)
+		}
 	}
 }
 
-func (f *Follower) adopt(held *adopt.Held) {
-	f.lock.Lock()
-	f.before = f.held
-	f.held = held
-	f.lock.Unlock()
-	f.scope.Counter("board_adopted").Inc(1)
-	f.scope.Gauge("board_revision").Update(float64(held.Revision()))
-	f.adopted(held)
+// call makes one call beside the machine and brings its event back.
+func (f *Follower) call(ctx context.Context, deadline time.Time, do func(context.Context) adopt.Event) {
+	f.calls.Go(func() {
+		limited, cancel := context.WithDeadline(ctx, deadline)
+		defer cancel()
+		e := do(limited)
+		select {
+		case f.events <- e:
+		case <-ctx.Done():
+		}
+	})
 }
 
 func (f *Follower) watch(ctx context.Context, a adopt.Watch) adopt.Event {
-	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
-	defer cancel()
+	if f.store == nil {
+		return adopt.StoreAway{}
+	}
 	e, err := f.store.Watch(ctx, head.Key, a.After)
 	switch {
-	case err == nil:
+	case err == nil && e.Version > a.After:
 		return adopt.HeadRead{
 			Value:   e.Value,
 			Version: e.Version,
 		}
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case err == nil || errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return adopt.WatchEnded{}
 	default:
-		f.scope.Counter("board_watch_away").Inc(1)
 		return adopt.StoreAway{}
 	}
 }
 
 func (f *Follower) fetch(ctx context.Context, a adopt.Fetch) adopt.Event {
-	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
-	defer cancel()
-	content, ok := f.get(ctx, a)
-	if !ok {
-		f.scope.Counter("board_part_missing").Inc(1)
+	content, err := f.content(ctx, a)
+	if err != nil || len(content) == 0 {
 		return adopt.Missing{
 			Hash: a.Hash,
 		}
@@ -211,21 +195,14 @@
 	}
 }
 
-func (f *Follower) get(ctx context.Context, a adopt.Fetch) (content []byte, ok bool) {
-	if a.Source == adopt.Store {
+func (f *Follower) content(ctx context.Context, a adopt.Fetch) (content []byte, err error) {
+	switch {
+	case a.Source == adopt.Peers && f.peers != nil:
+		return f.peers.FetchFile(ctx, a.Hash.String())
+	case a.Source == adopt.Store && f.store != nil:
 		e, err := f.store.Get(ctx, head.ContentKey(a.Hash))
-		return e.Value, err == nil && e.Version > 0
-	}
-	if f.peers == nil {
-		return nil, false
-	}
-	content, err := f.peers.FetchFile(ctx, a.Hash.String())
-	return content, err == nil
-}
-
-func (f *Follower) send(ctx context.Context, e adopt.Event) {
-	select {
-	case f.events <- e:
-	case <-ctx.Done():
+		return e.Value, err
+	default:
+		return nil, store.ErrAway
 	}
 }
--- a/internal/role/front/front.go
+++ b/internal/role/front/front.go
@@ -14,16 +14,21 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc/credentials"
 
+	"github.com/clementinewing/clementinewing/internal/board/adopt"
 	"github.com/clementinewing/clementinewing/internal/board/file"
 	"github.com/clementinewing/clementinewing/internal/conf/roles"
+	"github.com/clementinewing/clementinewing/internal/edge/follow"
 	"github.com/clementinewing/clementinewing/internal/edge/keys"
 	"github.com/clementinewing/clementinewing/internal/edge/peer"
+	"github.com/clementinewing/clementinewing/internal/edge/store"
+	"github.com/clementinewing/clementinewing/internal/fleet/member"
 	"github.com/clementinewing/clementinewing/internal/world/node"
 )
 
 const (
-	leaveTimeout  = 2 * time.Second
-	balancerShare = 100
+	leaveTimeout    = 2 * time.Second
+	membersInterval = time.Second
+	balancerShare   = 100
 )
 
 // Front is one balancer.
@@ -37,10 +42,12 @@
 	listener    net.Listener
 	path        *path
 	member      *peer.Member
+	store       store.Store
+	follower    *follow.Follower
+	refusals    refusals
 	started     time.Time
 
 	mutex     sync.Mutex
-	file      file.File
 	endpoints []node.Endpoint
 }
 
@@ -62,6 +69,13 @@
 	}
 }
 
+// WithStore sets the platform's store; without one the file comes from peers.
+func WithStore(s store.Store) Option {
+	return func(f *Front) {
+		f.store = s
+	}
+}
+
 // New opens the sockets of a balancer.
 func New(settings roles.Balancer, options ...Option) (f *Front, err error) {
 	defer func() { err = eris.Wrap(err, "opening the balancer") }()
@@ -83,8 +97,19 @@
 	if err != nil {
 		return nil, err
 	}
+	f.follower = follow.New(
+		settings.Name,
+		uint64(f.incarnation),
+		f.store,
+		follow.WithAdopted(f.adopted),
+		follow.WithRefused(f.refusals.add),
+	)
 	f.member, err = peer.NewMember(f.self(), f.peerOptions()...)
-	return f, err
+	if err != nil {
+		return nil, err
+	}
+	f.follower.SetPeers(f.member)
+	return f, nil
 }
 
 // self is this balancer's record.
@@ -103,6 +128,8 @@
 	o := []peer.Option{
 		peer.WithSeeds(f.settings.Contacts...),
 		peer.OnChange(f.setEndpoints),
+		peer.OnBehind(f.behind),
+		peer.WithFiles(f.follower),
 	}
 	if f.client == nil {
 		return append(o, peer.WithInsecure())
@@ -125,19 +152,68 @@
 	f.ring.Swap(k)
 }
 
-// SetFile puts a file in force.
-func (f *Front) SetFile(next file.File) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.file = next
-	f.path.set(f.file, f.endpoints)
+// adopted puts a file in force and tells the fleet.
+func (f *Front) adopted(h *adopt.Held) {
+	f.rebuild()
+	f.member.SetHead(member.Head{
+		Revision: h.Revision(),
+		Hash:     h.RecordHash.String(),
+	})
+	f.logger.Info().Uint64("revision", h.Revision()).Str("file", h.File.Name).Msg("file in force")
+}
+
+// behind hears from the fleet that a later file is in force elsewhere.
+func (f *Front) behind(h member.Head) {
+	var record file.Hash
+	err := record.UnmarshalText([]byte(h.Hash))
+	if err != nil {
+		f.logger.Warn().Err(err).Uint64("revision", h.Revision).Msg("a peer names no record")
+		return
+	}
+	f.follower.Heard(h.Revision, record)
 }
 
 func (f *Front) setEndpoints(endpoints []node.Endpoint) {
 	f.mutex.Lock()
-	defer f.mutex.Unlock()
 	f.endpoints = endpoints
-	f.path.set(f.file, f.endpoints)
+	f.mutex.Unlock()
+	f.rebuild()
+}
+
+// rebuild steers by the file in force and the endpoints of now.
+func (f *Front) rebuild() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.path.set(f.File(), f.endpoints)
+}
+
+// File is the file in force; before the first it has no service.
+func (f *Front) File() file.File {
+	h := f.follower.Held()
+	if h == nil {
+		return file.File{}
+	}
+	return h.File
+}
+
+// tellMembers tells the follower who else is in this failure domain.
+func (f *Front) tellMembers(ctx context.Context) {
+	ticker := time.NewTicker(membersInterval)
+	defer ticker.Stop()
+	for {
+		names := []string{f.settings.Name}
+		for _, b := range f.member.Balancers() {
+			if b.Place == f.settings.Place {
+				names = append(names, b.Upstream)
+			}
+		}
+		f.follower.Members(names)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
 }
 
 // Run serves until stop ends. A balancer has no flows to hand over: it tells the
@@ -146,6 +222,8 @@
 	var w sync.WaitGroup
 	ctx, cancel := context.WithCancel(context.Background())
 	w.Go(func() { f.path.run(ctx) })
+	w.Go(func() { f.follower.Run(ctx) })
+	w.Go(func() { f.tellMembers(ctx) })
 	w.Go(func() { err = f.member.Run(ctx, f.listener) })
 	f.logger.Info().Stringer("fabric", f.Fabric()).Stringer("control", f.Control()).Msg("serving")
 	select {
--- a/internal/role/front/state.go
+++ b/internal/role/front/state.go
@@ -2,8 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
+	"github.com/clementinewing/clementinewing/internal/board/adopt"
+	"github.com/clementinewing/clementinewing/internal/board/head"
 	"github.com/clementinewing/clementinewing/internal/edge/meter"
 	"github.com/clementinewing/clementinewing/internal/world/node"
 )
@@ -27,15 +32,20 @@
 // State gives what `show` prints.
 func (f *Front) State() meter.State {
 	f.mutex.Lock()
-	file, endpoints := f.file, f.endpoints
+	endpoints := f.endpoints
 	f.mutex.Unlock()
 	s := meter.State{
-		Role:     "balancer",
-		Name:     f.settings.Name,
-		Place:    f.settings.Place.String(),
-		Now:      time.Now(),
-		Started:  f.started,
-		FileName: file.Name,
+		Role:    "balancer",
+		Name:    f.settings.Name,
+		Place:   f.settings.Place.String(),
+		Now:     time.Now(),
+		Started: f.started,
+		Reasons: f.refusals.reasons(),
+	}
+	if h := f.follower.Held(); h != nil {
+		s.Revision = h.Revision()
+		s.FileName = h.File.Name
+		s.FileSource = h.Record.Proposal.Operator
 	}
 	for _, e := range endpoints {
 		s.Endpoints = append(s.Endpoints, f.endpoint(e))
@@ -63,12 +73,40 @@
 }
 
 func (f *Front) serviceName(e node.Endpoint) string {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	for i := range f.file.Services {
-		if f.file.Services[i].Pact.ID == e.Service {
-			return f.file.Services[i].Pact.Name
+	services := f.File().Services
+	for i := range services {
+		if services[i].Pact.ID == e.Service {
+			return services[i].Pact.Name
 		}
 	}
 	return fmt.Sprintf("unknown %016x", uint64(e.Service))
 }
+
+// refusals counts the revisions that were not put in force.
+type refusals struct {
+	mutex  sync.Mutex
+	counts map[head.Reason]meter.Reason
+}
+
+func (r *refusals) add(a adopt.Refuse) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.counts == nil {
+		r.counts = map[head.Reason]meter.Reason{}
+	}
+	c := r.counts[a.Reason]
+	r.counts[a.Reason] = meter.Reason{
+		Name:  "revision_" + string(a.Reason),
+		Count: c.Count + 1,
+		Last:  time.Now(),
+	}
+}
+
+func (r *refusals) reasons() (out []meter.Reason) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, reason := range slices.Sorted(maps.Keys(r.counts)) {
+		out = append(out, r.counts[reason])
+	}
+	return out
+}
