--- a/internal/demo/stage/committee.go
+++ b/internal/demo/stage/committee.go
@@ -105,7 +105,7 @@
 	}
 	p.Sign(c.keys[operator])
 	deadline := time.Now().Add(boardTimeout)
-	r := board.Run(ctx, c.store, head.NewApply(f, p, deadline, uint64(f.Base)))
+	r := board.Run(ctx, c.store, head.NewApply(f, p, deadline, f.Base))
 	if r.Refusal == nil {
 		c.decided = r.Revision
 	}
