--- /dev/null
+++ b/internal/trial/procs/fleet_test.go
@@ -0,0 +1,214 @@
+package procs_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/clementinewing/clementinewing/internal/demo/calls"
+	"github.com/clementinewing/clementinewing/internal/demo/score"
+	"github.com/clementinewing/clementinewing/internal/fake/caller"
+	"github.com/clementinewing/clementinewing/internal/fake/fabric"
+	"github.com/clementinewing/clementinewing/internal/fake/origin"
+)
+
+const (
+	balancers = 3
+	agents    = 3
+	service   = "dienstplan"
+	common    = "region = oberbayern\ndomain = freising\n"
+	security  = "[keys]\n1 = 6b1f3c9a5d7e2048b6c1f0e3a492d5870f1e2d3c4b5a69788796a5b4c3d2e1f0\n[tls]\ninsecure = yes\n"
+	patience  = time.Minute
+)
+
+var target = netip.MustParseAddrPort("10.99.0.1:80")
+
+// fleet is a deployment whose balancers, side processes and store are processes;
+// the fabric, the upstreams and the caller run in the test.
+type fleet struct {
+	program  string
+	fake     string
+	folder   string
+	fabric   *fabric.Fabric
+	ledger   *origin.Ledger
+	sessions map[string]*gexec.Session
+	commands map[string][]string
+	fabrics  map[string]netip.AddrPort
+	status   map[string]netip.AddrPort
+	store    netip.AddrPort
+	contacts string
+	died     sync.Map
+	score    *score.Score
+	load     sync.WaitGroup
+	endLoad  context.CancelFunc
+	opened   atomic.Int64
+}
+
+func newFleet(program, fake string) *fleet {
+	f := &fleet{
+		program:  program,
+		fake:     fake,
+		folder:   GinkgoT().TempDir(),
+		ledger:   origin.NewLedger(),
+		sessions: map[string]*gexec.Session{},
+		commands: map[string][]string{},
+		fabrics:  map[string]netip.AddrPort{},
+		status:   map[string]netip.AddrPort{},
+		score:    &score.Score{},
+	}
+	var err error
+	f.fabric, err = fabric.New(1, fabric.WithFaults(0.002, 0.002, 0.01))
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.fabric.Run(ctx)
+	}()
+	DeferCleanup(func() {
+		cancel()
+		<-done
+	})
+	DeferCleanup(f.killAll)
+	f.startStore()
+	f.startBalancers()
+	for n := range agents {
+		f.startAgent(n + 1)
+	}
+	f.applyFile()
+	f.awaitView()
+	return f
+}
+
+// freeAddress finds a port of loopback that nothing uses at the moment.
+func freeAddress() netip.AddrPort {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func (f *fleet) start(name string, command ...string) {
+	f.commands[name] = command
+	s, err := gexec.Start(exec.Command(command[0], command[1:]...), GinkgoWriter, GinkgoWriter)
+	Expect(err).NotTo(HaveOccurred())
+	f.sessions[name] = s
+}
+
+func (f *fleet) killAll() {
+	for _, s := range f.sessions {
+		s.Kill().Wait(patience)
+	}
+}
+
+func (f *fleet) write(name, text string) (path string) {
+	path = filepath.Join(f.folder, name)
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	return path
+}
+
+func (f *fleet) startStore() {
+	f.store = freeAddress()
+	f.start("store", f.fake, "store", "--listen", f.store.String())
+}
+
+func (f *fleet) startBalancers() {
+	var controls, contacts []string
+	for range balancers {
+		controls = append(controls, freeAddress().String())
+	}
+	contacts = append(contacts, controls...)
+	f.contacts = strings.Join(contacts, ", ")
+	for n := range balancers {
+		name := fmt.Sprintf("balancer-%d", n+1)
+		f.fabrics[name] = freeAddress()
+		f.status[name] = freeAddress()
+		path := f.write(name+".ini", fmt.Sprintf("[balancer]\nname = %s\n%sfabric = %s\ntunnel = %s\ncontrol = %s\nstatus = %s\ncontacts = %s\n[store]\naddress = %s\n%s",
+			name, common, f.fabrics[name], freeAddress(), controls[n], f.status[name], f.contacts, f.store, security))
+		f.start(name, f.program, "balancer", "--settings", path)
+	}
+	f.spray()
+}
+
+func (f *fleet) spray() {
+	var all []netip.AddrPort
+	for _, a := range f.fabrics {
+		all = append(all, a)
+	}
+	f.fabric.SetBalancers(all...)
+}
+
+func (f *fleet) startAgent(n int) {
+	name := fmt.Sprintf("agent-%d", n)
+	u, err := origin.New(service, name, netip.MustParseAddrPort("127.0.0.1:0"),
+		origin.WithLedger(f.ledger), origin.WithWork(5*time.Millisecond))
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(u.Kill)
+	path := f.write(name+".ini", fmt.Sprintf("[agent]\nname = %s\n%sfabric = %s\ntunnel = %s\ncontacts = %s\nservice = %s\nupstream = %s\n%s",
+		name, common, f.fabric.AnswerAddress(), freeAddress(), f.contacts, service, u.Address(), security))
+	f.start(name, f.program, "agent", "--settings", path)
+}
+
+func (f *fleet) run(arguments ...string) string {
+	out, err := exec.Command(f.program, arguments...).CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(out))
+	return string(out)
+}
+
+func (f *fleet) applyFile() {
+	key := filepath.Join(f.folder, "operator.key")
+	public := f.run("keygen", "--key", key)
+	path := f.write("file.ini", fmt.Sprintf("[file]\nname = suedhang\nbase = 0\nchair = alma\n[operator alma]\n%s[service %s]\naddress = %s\ncontract = once\n",
+		public, service, target))
+	f.run("apply", "--insecure", "--store", f.store.String(), "--key", key, path)
+}
+
+// awaitView waits until every balancer knows the file and every endpoint.
+func (f *fleet) awaitView() {
+	for name := range f.fabrics {
+		f.awaitBalancer(name)
+	}
+}
+
+func (f *fleet) awaitBalancer(name string) {
+	Eventually(func() string {
+		out, _ := exec.Command(f.program, "show", f.status[name].String()).Output()
+		return string(out)
+	}).WithTimeout(patience).Should(And(
+		ContainSubstring("revision 1"), ContainSubstring("agent-1"), ContainSubstring("agent-2"), ContainSubstring("agent-3")))
+}
+
+// call starts the callers' load.
+func (f *fleet) call() {
+	c, err := caller.New(netip.MustParseAddr("10.1.0.1"), f.fabric.CallerAddress())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	s := &calls.Service{
+		Name:    service,
+		Target:  target,
+		Callers: []*caller.Caller{c},
+		Ledger:  f.ledger,
+		Once:    true,
+		Died: func(upstream string) bool {
+			_, dead := f.died.Load(upstream)
+			return dead
+		},
+		Score: f.score,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.endLoad = cancel
+	f.load.Go(func() { s.Requests(ctx, 1, 100) })
+	f.load.Go(func() { s.Feeds(ctx, 1, 9) })
+}
