entry: run the packet path of a balancer

Threads read batches from the fabric, ask flow/steer, seal and send; readers take hints and answers from side processes under one shared replay table. Every drop has a counter. flow/probe decides over links: silence first gives a side process a new source port, then it is suspected, reported, and offered new flows last, until it answers.

An answer counts for the side process that its probe was sent to, not for the address that it came from. Trailing bytes behind a packet's total length are cut.

Found on the way: with two sockets on the fabric's port the kernel gives all packets of one source address to one of them, so a single fabric address feeds one thread (a test that read the other one waited for ever).

--- /dev/null
+++ b/internal/role/entry/entry_test.go
@@ -0,0 +1,378 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/hex"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/clementinewing/clementinewing/internal/edge/batch"
+	"github.com/clementinewing/clementinewing/internal/edge/keys"
+	"github.com/clementinewing/clementinewing/internal/edge/wire"
+	"github.com/clementinewing/clementinewing/internal/flow/rank"
+	"github.com/clementinewing/clementinewing/internal/flow/steer"
+	"github.com/clementinewing/clementinewing/internal/role/entry"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+	"github.com/clementinewing/clementinewing/internal/world/node"
+	"github.com/clementinewing/clementinewing/internal/world/pact"
+)
+
+const (
+	// syn opens a flow from 10.0.0.1:80 to 10.0.0.1:80, ack continues it.
+	syn = "4500002800000000400600000a0000010a0000010050005000000001000000005002000000000000"
+	ack = "4500002800000000400600000a0000010a0000010050005000000002000000005010000000000000"
+)
+
+func ringOf(epoch keys.Epoch, first byte) *keys.Ring {
+	return keys.NewRing(&keys.Set{
+		Seal: epoch,
+		Masters: []keys.Master{
+			{
+				Epoch: epoch,
+				Key:   keys.Key{first},
+			},
+		},
+	})
+}
+
+func unhex(text string) []byte {
+	b, err := hex.DecodeString(text)
+	Expect(err).NotTo(HaveOccurred())
+	return b
+}
+
+// bed is a running Entry before three side processes, in the rank order of the
+// flow under test, and the test's own socket as the fabric.
+type bed struct {
+	entry     *entry.Entry
+	ring      *keys.Ring
+	sealer    *wire.Sealer
+	fabric    *batch.Socket
+	agents    []*batch.Socket
+	endpoints []node.Endpoint
+	clock     atomic.Int64
+	suspected chan string
+}
+
+func newBed(run bool) *bed {
+	b := &bed{
+		ring:      ringOf(1, 1),
+		suspected: make(chan string, 100),
+	}
+	b.clock.Store(1_000_000_000_000)
+	b.sealer = wire.NewSealer(b.ring)
+	b.fabric = listen()
+	b.addEndpoints()
+	e, err := entry.New(b.ring, entry.WithThreads(1), entry.WithSizes(1000, 1000), entry.WithNow(b.now), entry.WithSuspicion(b.suspect))
+	Expect(err).NotTo(HaveOccurred())
+	b.entry = e
+	DeferCleanup(e.Close)
+	b.entry.SetServices(b.snapshot())
+	if run {
+		b.run()
+	}
+	return b
+}
+
+func (b *bed) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- b.entry.Run(ctx) }()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(ended, 20*time.Second).Should(Receive(BeNil()))
+	})
+}
+
+func (b *bed) now() time.Time {
+	return time.Unix(0, b.clock.Load())
+}
+
+func (b *bed) pass(d time.Duration) {
+	b.clock.Add(int64(d))
+}
+
+func (b *bed) suspect(agent netip.AddrPort, silent bool) {
+	b.suspected <- strconv.FormatBool(silent) + " " + agent.String()
+}
+
+func (b *bed) addEndpoints() {
+	random := rand.New(rand.NewPCG(1, 0))
+	var drawn []node.Endpoint
+	var sockets []*batch.Socket
+	for range 3 {
+		s := listen()
+		sockets = append(sockets, s)
+		drawn = append(drawn, node.Endpoint{
+			Service:     1,
+			Agent:       s.Local(),
+			Incarnation: node.Incarnation(random.Uint64()),
+			Weight:      1,
+			State:       node.Serving,
+		})
+	}
+	p, err := link.Parse(unhex(syn))
+	Expect(err).NotTo(HaveOccurred())
+	for _, i := range rank.List(p.Key.Hash(), drawn, nil) {
+		b.endpoints = append(b.endpoints, drawn[i])
+		b.agents = append(b.agents, sockets[i])
+	}
+}
+
+func (b *bed) snapshot() steer.Snapshot {
+	return steer.Snapshot{
+		Services: []steer.Service{
+			{
+				ID:        1,
+				Address:   netip.MustParseAddrPort("10.0.0.1:80"),
+				Protocol:  pact.TCP,
+				Endpoints: b.endpoints,
+			},
+			{
+				ID:       2,
+				Address:  netip.MustParseAddrPort("10.0.0.2:80"),
+				Protocol: pact.TCP,
+			},
+		},
+	}
+}
+
+func listen() *batch.Socket {
+	s, err := batch.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = s.Close() })
+	return s
+}
+
+func (b *bed) send(packet []byte) {
+	Expect(b.fabric.WriteTo(packet, b.entry.Fabric())).To(Succeed())
+}
+
+// receive waits for a message of one kind at a side process.
+func (b *bed) receive(agent int, kind wire.Kind) (m wire.Message, from netip.AddrPort) {
+	r := batch.NewReader(b.agents[agent], 1, wire.MaxBytes)
+	o := wire.NewOpener(b.ring)
+	for m.Kind != kind {
+		Expect(b.agents[agent].SetReadDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+		Expect(r.Read()).To(Equal(1))
+		Expect(o.Open(r.Datagram(0), &m)).To(Succeed())
+		from = r.From(0)
+	}
+	return m, from
+}
+
+// tell sends a message from a side process to the tunnel.
+func (b *bed) tell(agent int, m wire.Message) {
+	Expect(b.agents[agent].WriteTo(b.sealer.Seal(nil, &m), b.entry.Tunnel())).To(Succeed())
+}
+
+func (b *bed) counted(name string) func() uint64 {
+	return func() (found uint64) {
+		c := b.entry.Counts()
+		c.Each(func(n string, value uint64) {
+			if n == name {
+				found = value
+			}
+		})
+		return found
+	}
+}
+
+func (b *bed) hint(owner node.Incarnation) wire.Message {
+	return wire.Message{
+		Kind:     wire.Hint,
+		Service:  1,
+		Balancer: b.entry.Tunnel(),
+		Candidates: []wire.Candidate{
+			{
+				Incarnation: owner,
+			},
+		},
+		Inner: unhex(ack)[:30],
+	}
+}
+
+var _ = Describe("Entry", func() {
+	It("sends a packet to the first of its list and cuts what follows it", func() {
+		b := newBed(true)
+		b.send(append(unhex(syn), "padding"...))
+		m, from := b.receive(0, wire.Packet)
+		Expect(from).To(Equal(b.entry.Tunnel()))
+		Expect(m.Service).To(Equal(pact.ServiceID(1)))
+		Expect(m.Balancer).To(Equal(b.entry.Tunnel()))
+		Expect(m.Position).To(BeZero())
+		Expect(m.Inner).To(Equal(unhex(syn)))
+		for i, c := range m.Candidates {
+			Expect(c.Agent).To(Equal(b.endpoints[i].Agent))
+			Expect(c.Incarnation).To(Equal(b.endpoints[i].Incarnation))
+		}
+		Eventually(b.counted("forwarded"), 20*time.Second).Should(Equal(uint64(1)))
+	})
+
+	It("follows a hint", func() {
+		b := newBed(true)
+		b.tell(2, b.hint(b.endpoints[2].Incarnation))
+		Eventually(b.counted("hints_kept"), 20*time.Second).Should(Equal(uint64(1)))
+		b.send(unhex(ack))
+		m, _ := b.receive(2, wire.Packet)
+		Expect(m.Candidates).To(HaveLen(3))
+		Expect(m.Candidates[0].Incarnation).To(Equal(b.endpoints[2].Incarnation))
+		Eventually(b.counted("hinted"), 20*time.Second).Should(Equal(uint64(1)))
+	})
+
+	It("sends a repeated opening past the candidate that got it before", func() {
+		b := newBed(true)
+		b.send(unhex(syn))
+		b.receive(0, wire.Packet)
+		b.pass(time.Second)
+		b.send(unhex(syn))
+		b.receive(1, wire.Packet)
+		Eventually(b.counted("repeated_openings"), 20*time.Second).Should(Equal(uint64(1)))
+	})
+
+	It("takes a new link to a silent side process, then suspects it, until it answers", func() {
+		b := newBed(true)
+		b.send(unhex(ack))
+		_, first := b.receive(0, wire.Probe)
+		Expect(first).To(Equal(b.entry.Tunnel()))
+		b.pass(150 * time.Millisecond)
+		_, second := b.receive(0, wire.Probe)
+		Expect(second).NotTo(Equal(first))
+		b.send(unhex(ack))
+		_, from := b.receive(0, wire.Packet)
+		Expect(from).To(Equal(second))
+		b.pass(150 * time.Millisecond)
+		m, _ := b.receive(0, wire.Probe)
+		b.pass(150 * time.Millisecond)
+		agent := b.endpoints[0].Agent.String()
+		Eventually(b.suspected, 20*time.Second).Should(Receive(Equal("true " + agent)))
+
+		b.send(unhex(syn))
+		b.receive(1, wire.Packet)
+		b.entry.SetServices(b.snapshot())
+		b.pass(10 * time.Second)
+		b.send(unhex(strings.Replace(syn, "00000001", "00000009", 1)))
+		b.receive(1, wire.Packet)
+
+		m.Kind = wire.Answer
+		Expect(b.agents[0].WriteTo(b.sealer.Seal(nil, &m), second)).To(Succeed())
+		Eventually(b.suspected, 20*time.Second).Should(Receive(Equal("false " + agent)))
+	})
+
+	It("goes on at a side process while another is gone", func() {
+		b := newBed(true)
+		Expect(b.agents[0].Close()).To(Succeed())
+		for range 3 {
+			b.send(unhex(ack))
+		}
+		Eventually(b.counted("forwarded"), 20*time.Second).Should(Equal(uint64(3)))
+		b.send(unhex(syn))
+		Eventually(b.counted("forwarded"), 20*time.Second).Should(Equal(uint64(4)))
+		b.pass(time.Second)
+		b.send(unhex(syn))
+		b.receive(1, wire.Packet)
+	})
+
+	It("refuses a tunnel address that names no IP", func() {
+		_, err := entry.New(ringOf(1, 1), entry.WithTunnel(netip.MustParseAddrPort("0.0.0.0:0")))
+		Expect(err).To(MatchError(ContainSubstring("must name one IP")))
+	})
+
+	It("allocates nothing for a packet", func() {
+		b := newBed(false)
+		step := entry.NewStep(b.entry)
+		packet := unhex(ack)
+		allocations := testing.AllocsPerRun(100, func() {
+			for range 32 {
+				if b.fabric.WriteTo(packet, b.entry.Fabric()) != nil {
+					panic("not sent")
+				}
+			}
+			for handled := 0; handled < 32; {
+				n, err := step.Handle()
+				if err != nil {
+					panic(err)
+				}
+				handled += n
+			}
+		})
+		Expect(allocations).To(BeZero())
+	})
+})
+
+var _ = Describe("drops", func() {
+	script, err := os.ReadFile("testdata/drops.txt")
+	if err != nil {
+		panic(err)
+	}
+	for line := range strings.Lines(string(script)) {
+		words := strings.Fields(line)
+		if words[0] == "#" {
+			continue
+		}
+		It(words[0], func() {
+			b := newBed(true)
+			to := b.entry.Fabric()
+			if words[1] == "tunnel" {
+				to = b.entry.Tunnel()
+			}
+			for _, datagram := range b.datagrams(words[3:]) {
+				Expect(b.fabric.WriteTo(datagram, to)).To(Succeed())
+			}
+			Eventually(b.counted(words[2]), 20*time.Second).Should(Equal(uint64(1)))
+		})
+	}
+})
+
+func (b *bed) datagrams(words []string) [][]byte {
+	switch words[0] {
+	case "packet":
+		return [][]byte{unhex(words[1])}
+	case "zeros":
+		n, err := strconv.Atoi(words[1])
+		Expect(err).NotTo(HaveOccurred())
+		return [][]byte{make([]byte, n)}
+	case "kind":
+		return [][]byte{b.sealer.Seal(nil, b.kind(words[1:]))}
+	}
+	m := b.hint(b.endpoints[0].Incarnation)
+	switch words[0] {
+	case "wrong_key":
+		return [][]byte{wire.NewSealer(ringOf(1, 2)).Seal(nil, &m)}
+	case "unknown_epoch":
+		return [][]byte{wire.NewSealer(ringOf(2, 1)).Seal(nil, &m)}
+	case "twice":
+		datagram := b.sealer.Seal(nil, &m)
+		return [][]byte{datagram, datagram}
+	default:
+		Fail("unknown datagram " + words[0])
+		return nil
+	}
+}
+
+func (b *bed) kind(words []string) *wire.Message {
+	m := b.hint(b.endpoints[0].Incarnation)
+	m.Kind = map[string]wire.Kind{
+		"packet": wire.Packet,
+		"hint":   wire.Hint,
+		"answer": wire.Answer,
+	}[words[0]]
+	switch {
+	case len(words) == 1:
+		m.Inner = nil
+	case words[1] == "elsewhere":
+		m.Balancer = netip.MustParseAddrPort("127.0.0.1:1")
+	default:
+		m.Candidates[0].Incarnation++
+	}
+	return &m
+}
--- /dev/null
+++ b/internal/role/entry/export_test.go
@@ -0,0 +1,31 @@
+package entry
+
+import "time"
+
+// WithNow replaces the wall clock.
+func WithNow(now func() time.Time) Option {
+	return func(e *Entry) {
+		e.now = now
+	}
+}
+
+// Step is a thread that is run by hand.
+type Step struct {
+	thread *thread
+}
+
+// NewStep makes one on the first sockets.
+func NewStep(e *Entry) *Step {
+	return &Step{
+		thread: newThread(e, e.fabric[0], e.tunnel[0]),
+	}
+}
+
+// Handle reads one batch and forwards it.
+func (s *Step) Handle() (count int, err error) {
+	count, err = s.thread.reader.Read()
+	if err == nil {
+		s.thread.handle(s.thread.entry.now(), count)
+	}
+	return count, err
+}
