--- a/cmd/cwlab/main.go
+++ b/cmd/cwlab/main.go
@@ -44,14 +44,18 @@
 				Usage: "number of seeds, counted from 1",
 				Value: defaultSeeds,
 			},
+			&cli.StringFlag{
+				Name:  "plot",
+				Usage: "file for a picture, where the experiment has one; its extension names the format",
+			},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			return run(e, c.Int("seeds"), c.Bool("json"))
+			return run(e, c.Int("seeds"), c.Bool("json"), c.String("plot"))
 		},
 	}
 }
 
-func run(e experiment, seeds int, asJSON bool) (err error) {
+func run(e experiment, seeds int, asJSON bool, plot string) (err error) {
 	result, err := e.Run(seeds)
 	if err != nil {
 		return err
@@ -60,6 +64,12 @@
 	if err != nil {
 		return err
 	}
+	if e.Plot != nil && plot != "" {
+		err = e.Plot(result, plot)
+	}
+	if err != nil {
+		return err
+	}
 	if !result.Met() {
 		return errMissed
 	}
