--- a/internal/bench/broken/hops.go
+++ b/internal/bench/broken/hops.go
@@ -79,9 +79,13 @@
 		out = open(table, now, i, out)
 	}
 	bytes = float64(heap()-before) / heldFlows
+	e := arrived(0, link.Continuing, 0x10)
 	start := time.Now()
 	for i := range uint32(heldFlows) {
-		out = table.Step(now, arrived(i*7919%heldFlows, link.Continuing, 0x10), out[:0])
+		n := i * 7919 % heldFlows
+		e.Packet.Key.Caller = n
+		e.Packet.Key.CallerPort = uint16(n)
+		out = table.Step(now, &e, out[:0])
 	}
 	each = float64(time.Since(start).Nanoseconds()) / heldFlows
 	runtime.KeepAlive(table)
--- a/internal/bench/broken/traffic.go
+++ b/internal/bench/broken/traffic.go
@@ -188,7 +188,7 @@
 	v.foreign += c.Foreign
 	switch c.Outcome {
 	case stack.Broken, stack.Waiting:
-		if t.atKilled(c) {
+		if t.Lost(c.Plan.Key, t.killed) {
 			v.own++
 		} else {
 			v.planned++
@@ -202,13 +202,3 @@
 		v.unanswered++
 	}
 }
-
-// atKilled tells whether the flow was last taken by an upstream that was killed.
-func (t *traffic) atKilled(c *stack.Caller) bool {
-	for _, a := range t.Record.Owners[c.Plan.Key] {
-		if t.killed[a] {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -6,6 +6,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/fake/agent"
@@ -77,6 +78,8 @@
 	Misrouted int
 	// Owners lists by flow the side processes that took it.
 	Owners map[link.Key][]*agent.Agent
+	// RanAt is by flow the side process whose upstream ran its last request.
+	RanAt map[link.Key]*agent.Agent
 	// Taken is the last time at which an endpoint took a new flow, Accepted the last
 	// at which it completed one's handshake.
 	Taken    map[*agent.Agent]time.Time
@@ -105,6 +108,7 @@
 		Settings: s,
 		Record: Record{
 			Runs:     map[uint64]int{},
+			RanAt:    map[link.Key]*agent.Agent{},
 			Owners:   map[link.Key][]*agent.Agent{},
 			Taken:    map[*agent.Agent]time.Time{},
 			Accepted: map[*agent.Agent]time.Time{},
@@ -198,11 +202,14 @@
 	f.Net.Send(lossy.Way{
 		From: from.String(),
 		To:   "fabric",
-	}, func() {
-		if c := f.byKey[g.Key]; c != nil {
-			c.Receive(g)
-		}
-	})
+	}, func() { f.Give(g) })
+}
+
+// Give hands a packet to the caller that has its address and port now.
+func (f *Fleet) Give(g stack.Segment) {
+	if c := f.byKey[g.Key]; c != nil {
+		c.Receive(g)
+	}
 }
 
 // Saw implements agent.Outside.
@@ -223,9 +230,19 @@
 	}
 }
 
+// Lost tells whether a flow was at one of the given side processes: where its last
+// request ran or, if none did, where it was taken.
+func (f *Fleet) Lost(key link.Key, dead map[*agent.Agent]bool) bool {
+	if a, ran := f.Record.RanAt[key]; ran {
+		return dead[a]
+	}
+	return slices.ContainsFunc(f.Record.Owners[key], func(a *agent.Agent) bool { return dead[a] })
+}
+
 // Ran implements agent.Outside.
 func (f *Fleet) Ran(a *agent.Agent, key link.Key, request uint64) {
 	f.Record.Runs[request]++
+	f.Record.RanAt[key] = a
 	if a.Endpoint.Service != f.ServiceID(ServiceOf(key)) {
 		f.Record.Misrouted++
 	}
--- a/internal/fake/fleet/matrix_test.go
+++ b/internal/fake/fleet/matrix_test.go
@@ -8,8 +8,6 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-
-	"github.com/clementinewing/clementinewing/internal/fake/stack"
 )
 
 // fault is one line of the matrix: a name and what is done.
@@ -145,7 +143,7 @@
 			})
 			plays++
 			struck += w.struck
-			if w.watched.Outcome == stack.Finished {
+			if w.finished() {
 				finished++
 			}
 			for _, x := range w.failures() {
--- a/internal/fake/fleet/world_test.go
+++ b/internal/fake/fleet/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/fake/agent"
@@ -36,6 +37,8 @@
 	cutTo   bool
 	trick   string
 	last    *agent.Agent
+	// vanished are callers whose host forgot them.
+	vanished []*stack.Caller
 }
 
 func play(seed uint64, slots int, strikes ...strike) *world {
@@ -190,7 +193,7 @@
 	}
 	w.Clock.After(wait[trick], func() {
 		if toCaller {
-			w.watched.Receive(g)
+			w.Give(g)
 			return
 		}
 		w.Replay(g)
@@ -300,6 +303,10 @@
 			w.CutWay(other.Endpoint.Agent, at, true)
 			w.CutWay(at, other.Endpoint.Agent, true)
 		}
+	case "reborn":
+		w.reborn()
+	case "spoof":
+		w.spoof()
 	case "cut_from_caller":
 		w.cutFrom = true
 	case "cut_to_caller":
@@ -311,6 +318,38 @@
 	}
 }
 
+// reborn forgets the watched caller and starts a new one at its address and port.
+func (w *world) reborn() {
+	if w.watched == nil {
+		w.Clock.After(time.Millisecond, w.reborn)
+		return
+	}
+	if len(w.vanished) > 0 {
+		return
+	}
+	w.vanished = append(w.vanished, w.watched)
+	w.watched.Vanish()
+	w.Call(stack.Plan{
+		Key:      fleet.Key(rota, 0),
+		First:    500,
+		Requests: 2,
+		Parts:    4,
+		Pause:    300 * time.Millisecond,
+	}, func(*stack.Caller) {})
+}
+
+// spoof sends an opening under the watched flow's key that its caller never sent.
+func (w *world) spoof() {
+	w.Replay(stack.Segment{
+		Packet: link.Packet{
+			Key:      fleet.Key(rota, 0),
+			Kind:     link.Opening,
+			Flags:    2,
+			Sequence: w.Random.Uint32(),
+		},
+	})
+}
+
 func (w *world) alive() (n int) {
 	for _, b := range w.Balancers {
 		if !b.Dead {
@@ -371,6 +410,13 @@
 	return out
 }
 
+// finished tells whether the watched caller, or the one in its place, got all.
+func (w *world) finished() bool {
+	return slices.ContainsFunc(w.Callers, func(c *stack.Caller) bool {
+		return c.Plan.Key == fleet.Key(rota, 0) && c.Outcome == stack.Finished
+	})
+}
+
 // check compares what one caller has seen with what ran.
 func (w *world) check(c *stack.Caller, fail func(string, ...any)) {
 	ran := 0
@@ -395,13 +441,11 @@
 
 // excused flows were at an upstream that died, or their caller was cut off.
 func (w *world) excused(c *stack.Caller) bool {
-	if c == w.watched && (w.cutFrom || w.cutTo) {
+	if c.Plan.Key == fleet.Key(rota, 0) && (w.cutFrom || w.cutTo) {
 		return true
 	}
-	for _, a := range w.Record.Owners[c.Plan.Key] {
-		if w.killed[a] {
-			return true
-		}
+	if slices.Contains(w.vanished, c) {
+		return true
 	}
-	return false
+	return w.Lost(c.Plan.Key, w.killed)
 }
