--- a/internal/role/front/front.go
+++ b/internal/role/front/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -22,6 +23,8 @@
 	"github.com/clementinewing/clementinewing/internal/edge/peer"
 	"github.com/clementinewing/clementinewing/internal/edge/store"
 	"github.com/clementinewing/clementinewing/internal/fleet/member"
+	"github.com/clementinewing/clementinewing/internal/flow/route"
+	"github.com/clementinewing/clementinewing/internal/role/entry"
 	"github.com/clementinewing/clementinewing/internal/world/node"
 )
 
@@ -40,7 +43,7 @@
 	server      credentials.TransportCredentials
 	client      credentials.TransportCredentials
 	listener    net.Listener
-	path        *path
+	entry       *entry.Entry
 	member      *peer.Member
 	store       store.Store
 	follower    *follow.Follower
@@ -49,6 +52,7 @@
 
 	mutex     sync.Mutex
 	endpoints []node.Endpoint
+	silent    map[netip.AddrPort]bool
 }
 
 // Option sets one property of a Front.
@@ -85,6 +89,7 @@
 		ring:        keys.NewRing(settings.Keys),
 		logger:      zerolog.Nop(),
 		started:     time.Now(),
+		silent:      map[netip.AddrPort]bool{},
 	}
 	for _, o := range options {
 		o(f)
@@ -93,9 +98,14 @@
 	if err != nil {
 		return nil, err
 	}
-	f.path, err = newPath(f.ring, settings.Fabric, settings.Tunnel)
+	f.entry, err = entry.New(
+		f.ring,
+		entry.WithFabric(settings.Fabric),
+		entry.WithTunnel(settings.Tunnel),
+		entry.WithSuspicion(f.suspect),
+	)
 	if err != nil {
-		return nil, err
+		return nil, errors.Join(err, f.listener.Close())
 	}
 	f.follower = follow.New(
 		settings.Name,
@@ -144,7 +154,7 @@
 
 // Fabric is the address for packets of callers.
 func (f *Front) Fabric() netip.AddrPort {
-	return f.path.address()
+	return f.entry.Fabric()
 }
 
 // SetKeys puts other keys for datagrams in force; open flows go on.
@@ -184,7 +194,18 @@
 func (f *Front) rebuild() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.path.set(f.File(), f.endpoints)
+	f.entry.SetServices(route.Build(f.File(), f.endpoints))
+}
+
+// suspect keeps which side processes leave packets unanswered, for State.
+func (f *Front) suspect(agent netip.AddrPort, silent bool) {
+	f.mutex.Lock()
+	f.silent[agent] = silent
+	if !silent {
+		delete(f.silent, agent)
+	}
+	f.mutex.Unlock()
+	f.logger.Warn().Stringer("agent", agent).Bool("silent", silent).Msg("link to a side process")
 }
 
 // File is the file in force; before the first it has no service.
@@ -220,20 +241,31 @@
 // others and goes. Once kill ends it goes without a word.
 func (f *Front) Run(stop, kill context.Context) (err error) {
 	var w sync.WaitGroup
-	ctx, cancel := context.WithCancel(context.Background())
-	w.Go(func() { f.path.run(ctx) })
+	ctx, cancel := context.WithCancelCause(context.Background())
+	run := func(part func(context.Context) error) {
+		w.Go(func() {
+			if err := part(ctx); err != nil {
+				cancel(err)
+			}
+		})
+	}
+	run(f.entry.Run)
+	run(func(ctx context.Context) error { return f.member.Run(ctx, f.listener) })
 	w.Go(func() { f.follower.Run(ctx) })
 	w.Go(func() { f.tellMembers(ctx) })
-	w.Go(func() { err = f.member.Run(ctx, f.listener) })
 	f.logger.Info().Stringer("fabric", f.Fabric()).Stringer("control", f.Control()).Msg("serving")
 	select {
 	case <-stop.Done():
 		f.leave(kill)
 	case <-kill.Done():
+	case <-ctx.Done():
 	}
-	cancel()
+	cancel(nil)
 	w.Wait()
 	f.logger.Info().Msg("stopped")
+	if cause := context.Cause(ctx); !errors.Is(cause, context.Canceled) {
+		err = eris.Wrap(cause, "running the balancer")
+	}
 	return err
 }
 
--- a/internal/role/front/state.go
+++ b/internal/role/front/state.go
@@ -15,7 +15,8 @@
 
 // Sample gives the counters for metrics.
 func (f *Front) Sample() meter.Sample {
-	return meter.Sample{
+	counts := f.entry.Counts()
+	sample := meter.Sample{
 		Levels: []meter.Level{
 			{
 				Name:  "endpoints",
@@ -25,8 +26,20 @@
 				Name:  "balancers",
 				Value: float64(len(f.member.Balancers())),
 			},
+			{
+				Name:  "silent_side_processes",
+				Value: float64(counts.Links.Silent),
+			},
 		},
 	}
+	counts.Each(func(name string, value uint64) {
+		sample.Totals = append(sample.Totals, meter.Total{
+			Name:   "packets",
+			Reason: name,
+			Value:  value,
+		})
+	})
+	return sample
 }
 
 // State gives what `show` prints.
@@ -42,6 +55,13 @@
 		Started: f.started,
 		Reasons: f.refusals.reasons(),
 	}
+	counts := f.entry.Counts()
+	counts.Each(func(name string, value uint64) {
+		s.Reasons = append(s.Reasons, meter.Reason{
+			Name:  name,
+			Count: value,
+		})
+	})
 	if h := f.follower.Held(); h != nil {
 		s.Revision = h.Revision()
 		s.FileName = h.File.Name
@@ -61,6 +81,7 @@
 
 func (f *Front) endpoint(e node.Endpoint) meter.Endpoint {
 	return meter.Endpoint{
+		Suspected:   f.suspicion(e),
 		Service:     f.serviceName(e),
 		Upstream:    e.Upstream,
 		Agent:       e.Agent.String(),
@@ -72,6 +93,16 @@
 	}
 }
 
+// suspicion tells why an endpoint is tried last, if it is.
+func (f *Front) suspicion(e node.Endpoint) string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.silent[e.Agent] {
+		return "answers no probes"
+	}
+	return ""
+}
+
 func (f *Front) serviceName(e node.Endpoint) string {
 	services := f.File().Services
 	for i := range services {
--- a/internal/trial/procs/fleet_test.go
+++ b/internal/trial/procs/fleet_test.go
@@ -10,7 +10,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -53,7 +52,6 @@
 	score    *score.Score
 	load     sync.WaitGroup
 	endLoad  context.CancelFunc
-	opened   atomic.Int64
 }
 
 func newFleet(program, fake string) *fleet {
