path: measure the balancer's packet path against a bare relay

An experiment of the lab command, since it measures wall time: decisions at 500,000 cached owners, packets a second of a balancer with one thread against a relay with one thread and the same batches, memory with 300,000 owners learned from hints over the tunnel, and 5,500 new flows offered a second. The bounds are the users'.

--- a/cmd/cwlab/table.go
+++ b/cmd/cwlab/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/clementinewing/clementinewing/internal/bench/load"
+	"github.com/clementinewing/clementinewing/internal/bench/path"
 	"github.com/clementinewing/clementinewing/internal/bench/report"
 )
 
@@ -23,5 +24,10 @@
 			Usage: "spread of work over the upstreams, against other policies and a central queue",
 			Run:   load.Run,
 		},
+		{
+			Name:  "path",
+			Usage: "the balancer's packet path: decision, throughput against a bare relay, memory",
+			Run:   path.Run,
+		},
 	}
 }
