--- a/cmd/cwlab/table.go
+++ b/cmd/cwlab/table.go
@@ -4,6 +4,7 @@
 	"github.com/clementinewing/clementinewing/internal/bench/broken"
 	"github.com/clementinewing/clementinewing/internal/bench/fleet"
 	"github.com/clementinewing/clementinewing/internal/bench/load"
+	"github.com/clementinewing/clementinewing/internal/bench/path"
 	"github.com/clementinewing/clementinewing/internal/bench/report"
 )
 
@@ -48,5 +49,10 @@
 			Usage: "hand-overs a packet, memory and time a flow",
 			Run:   broken.Hops,
 		},
+		{
+			Name:  "path",
+			Usage: "the balancer's packet path: decision, throughput against a bare relay, memory",
+			Run:   path.Run,
+		},
 	}
 }
