steer: ask silent side processes last for every packet

Cause: in the demonstration, 401 requests opened after an upstream was killed got a handshake and then nothing for 20 s. Their list began with the dead side process: openings went past it, later packets did not, so nobody ever reached the living owner behind it, and without an owner there was no hint either. Ruled out: slots that are never given back (mean work in hand was below the limit), openings accepted twice (handshake_expired rose by 6 only), reused caller ports. Change: silent endpoints stand last in every list, also a hinted one; the walk still reaches them once all others have denied.

--- a/internal/demo/calls/calls.go
+++ b/internal/demo/calls/calls.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"strings"
 	"sync"
@@ -24,8 +25,6 @@
 
 // Lengths of the calls.
 const (
-	feedLeast      = 4 * time.Second
-	feedMost       = 20 * time.Second
 	stallTimeout   = 5 * time.Second
 	requestTimeout = 20 * time.Second
 	bodyBytesMost  = 4_000
@@ -42,7 +41,10 @@
 	// Died tells whether the upstream of the given name has been killed.
 	Died  func(upstream string) bool
 	Score *score.Score
-	next  atomic.Uint64
+	// FeedLeast and FeedMost bound how long a feed is kept open.
+	FeedLeast time.Duration
+	FeedMost  time.Duration
+	next      atomic.Uint64
 }
 
 // Requests opens rate requests a second at random times until ctx ends, and
@@ -67,7 +69,7 @@
 		w.Go(func() {
 			sleep(ctx, time.Duration(random.Int64N(int64(time.Second))))
 			for ctx.Err() == nil {
-				length := feedLeast + time.Duration(random.Int64N(int64(feedMost-feedLeast)))
+				length := s.FeedLeast + time.Duration(random.Int64N(int64(s.FeedMost-s.FeedLeast)))
 				s.feed(ctx, length)
 			}
 		})
@@ -88,7 +90,8 @@
 	id := fmt.Sprintf("%s-%d", s.Name, n)
 	s.Score.Opened()
 	opened := time.Now()
-	body, err := s.post(s.Callers[n%uint64(len(s.Callers))], id, size)
+	var connected bool
+	body, err := s.post(&connected, s.Callers[n%uint64(len(s.Callers))], id, size)
 	runs := s.Ledger.Runs(id)
 	whole := err == nil && strings.HasPrefix(body, s.Name+" ") && strings.HasSuffix(body, fmt.Sprintf(" %s %d\n", id, size))
 	switch {
@@ -97,16 +100,19 @@
 	case isRefused(err):
 		s.Score.Refused(len(runs) > 0)
 	default:
-		s.Score.Broken(s.causeOf(runs), fmt.Sprintf("request %s: opened at %s, run %d times, answer %q: %v",
-			id, opened.Format(time.TimeOnly), len(runs), body, err))
+		s.Score.Broken(s.causeOf(runs), fmt.Sprintf("request %s: opened at %s, connected %v, run %d times, answer %q: %v",
+			id, opened.Format(time.TimeOnly), connected, len(runs), body, err))
 	}
 	s.Score.Checked(s.Once && len(runs) > 1, s.strayed(runs), whole && len(runs) == 0)
 }
 
-func (s *Service) post(c *caller.Caller, id string, size int) (answer string, err error) {
+func (s *Service) post(connected *bool, c *caller.Caller, id string, size int) (answer string, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	url := fmt.Sprintf("http://%s%s?id=%s", s.Target, origin.RunPath, id)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { *connected = true },
+	})
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(strings.Repeat("x", size)))
 	if err != nil {
 		return "", err
--- a/internal/demo/play/play.go
+++ b/internal/demo/play/play.go
@@ -20,6 +20,8 @@
 
 const (
 	callersPerService = 2
+	feedLeast         = 4 * time.Second
+	feedMost          = 20 * time.Second
 	viewTimeout       = 15 * time.Second
 	sampleInterval    = 10 * time.Millisecond
 	unplugDelay       = 500 * time.Millisecond
@@ -162,6 +164,9 @@
 		Once:   spec.Contract == pact.Once,
 		Died:   h.stage.Died,
 		Score:  sc,
+
+		FeedLeast: feedLeast,
+		FeedMost:  feedMost,
 	}
 	for range callersPerService {
 		address := netip.AddrFrom4([4]byte{10, 1, byte(len(h.services)), byte(len(h.callers) + 1)})
--- a/internal/flow/steer/service.go
+++ b/internal/flow/steer/service.go
@@ -42,6 +42,9 @@
 	id        pact.ServiceID
 	endpoints []node.Endpoint
 	briefs    []uint32
+	// silent marks the endpoints whose side process does not answer.
+	silent    []bool
+	anySilent bool
 	// takers is how many of the endpoints take new flows.
 	takers int
 	taking *rank.Table
@@ -88,6 +91,10 @@
 	for i := range g.endpoints {
 		g.briefs = append(g.briefs, briefOf(g.endpoints[i].Incarnation))
 	}
+	for i := range g.endpoints {
+		g.silent = append(g.silent, slices.Contains(silent, g.endpoints[i].Agent))
+	}
+	g.anySilent = slices.Contains(g.silent, true)
 	g.taking = rank.NewTable(g.endpoints[:g.takers])
 	g.others = rank.NewTable(g.endpoints[g.takers:])
 	g.all = rank.NewTable(g.endpoints)
--- a/internal/flow/steer/steer.go
+++ b/internal/flow/steer/steer.go
@@ -165,10 +165,30 @@
 func (s *Steerer) follow(now time.Time, g *group, hash uint64, d *Decision) {
 	d.Order = g.all.List(hash, d.Order)
 	brief, found := s.owners.touch(now, hash)
-	if !found {
-		return
+	if found {
+		d.Order, d.Hinted = g.first(d.Order, brief)
+	}
+	if g.anySilent {
+		first := d.Order[0]
+		g.silentLast(d.Order)
+		d.Hinted = d.Hinted && d.Order[0] == first
+	}
+}
+
+// silentLast moves silent endpoints behind the others and keeps the order of each
+// part: a packet that is sent to a dead one is lost to the living owner behind it.
+func (g *group) silentLast(order []int) {
+	end := len(order)
+	for at := 0; at < end; {
+		index := order[at]
+		if !g.silent[index] {
+			at++
+			continue
+		}
+		copy(order[at:], order[at+1:])
+		order[len(order)-1] = index
+		end--
 	}
-	d.Order, d.Hinted = g.first(d.Order, brief)
 }
 
 // open orders the endpoints for a new flow: those that take it by rank, from the
--- a/internal/trial/procs/fleet_test.go
+++ b/internal/trial/procs/fleet_test.go
@@ -203,7 +203,9 @@
 			_, dead := f.died.Load(upstream)
 			return dead
 		},
-		Score: f.score,
+		Score:     f.score,
+		FeedLeast: time.Second,
+		FeedMost:  4 * time.Second,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.endLoad = cancel
