batch: bind before sharing a port, so that no socket shares by chance

A trial of the packet path forwarded nothing at all: port 0 with SO_REUSEPORT may give a port that another such socket of the same user has, and the kernel then spreads the datagrams over both. Among 600 sockets opened so, 5 shared a port. A first socket is now bound without the option, and allows others afterwards; this also takes the place of the trial bind, which left a gap.

The test for 600 sockets failed before (595 ports) and passes now.

--- a/internal/edge/batch/batch_test.go
+++ b/internal/edge/batch/batch_test.go
@@ -104,6 +104,14 @@
 		Expect(err).To(MatchError(syscall.EADDRINUSE))
 	})
 
+	It("gives no two callers the same port when the kernel chooses", func() {
+		ports := map[uint16]bool{}
+		for range 600 {
+			ports[open(1)[0].Local().Port()] = true
+		}
+		Expect(ports).To(HaveLen(600))
+	})
+
 	It("sends one datagram at once", func() {
 		near, far := open(1)[0], open(1)[0]
 		Expect(near.WriteTo([]byte("one"), far.Local())).To(Succeed())
--- a/internal/edge/batch/socket.go
+++ b/internal/edge/batch/socket.go
@@ -22,23 +22,51 @@
 // grants as much of it as its own limit allows.
 const socketBytes = 4 << 20
 
-// Socket is one UDP socket. Several may share a port: the kernel spreads the
-// senders over them.
+// Socket is one UDP socket. Several may have one address: the kernel spreads the
+// source addresses of datagrams over them.
 type Socket struct {
 	conn  *net.UDPConn
 	raw   syscall.RawConn
 	local netip.AddrPort
 }
 
-// Listen opens a socket on an IPv4 address with SO_REUSEPORT; port 0 lets the
-// kernel choose.
+// Listen opens a socket on an IPv4 address that no other socket has; port 0 lets
+// the kernel choose.
 func Listen(local netip.AddrPort) (s *Socket, err error) {
+	return listen(local, net.ListenConfig{})
+}
+
+// ListenMany opens count sockets on one address that no other socket has. Port 0
+// gives all of them the port that the kernel chose for the first.
+//
+// The first one is bound before it allows others: the kernel takes sockets that
+// are bound with SO_REUSEPORT for friends, so a second process on the address
+// would be given a part of the datagrams, and port 0 may choose a port in use.
+func ListenMany(local netip.AddrPort, count int) (list []*Socket, err error) {
+	first, err := Listen(local)
+	if err != nil {
+		return nil, err
+	}
+	list = append(list, first)
+	if err = sharePort("", "", first.raw); err != nil {
+		return nil, errors.Join(err, CloseAll(list))
+	}
+	for len(list) < count {
+		s, err := listen(first.local, net.ListenConfig{
+			Control: sharePort,
+		})
+		if err != nil {
+			return nil, errors.Join(err, CloseAll(list))
+		}
+		list = append(list, s)
+	}
+	return list, nil
+}
+
+func listen(local netip.AddrPort, config net.ListenConfig) (s *Socket, err error) {
 	defer func() {
 		err = eris.Wrapf(err, "listening on %s", local)
 	}()
-	config := net.ListenConfig{
-		Control: reusePort,
-	}
 	c, err := config.ListenPacket(context.Background(), "udp4", local.String())
 	if err != nil {
 		return nil, err
@@ -57,36 +85,6 @@
 	return s, nil
 }
 
-// ListenMany opens count sockets on one address. Port 0 gives all of them the
-// port that the kernel chose for the first. It fails if the address is in use: a
-// second process would be given a part of the first one's datagrams.
-func ListenMany(local netip.AddrPort, count int) (list []*Socket, err error) {
-	if err = vacant(local); err != nil {
-		return nil, err
-	}
-	for range count {
-		s, err := Listen(local)
-		if err != nil {
-			return nil, errors.Join(err, CloseAll(list))
-		}
-		list = append(list, s)
-		local = s.local
-	}
-	return list, nil
-}
-
-// vacant finds out whether a socket that shares no port can be opened.
-func vacant(local netip.AddrPort) (err error) {
-	defer func() {
-		err = eris.Wrapf(err, "listening on %s", local)
-	}()
-	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(local))
-	if err != nil {
-		return err
-	}
-	return c.Close()
-}
-
 // CloseAll closes every socket of the list.
 func CloseAll(list []*Socket) (err error) {
 	for _, s := range list {
@@ -95,7 +93,7 @@
 	return err
 }
 
-func reusePort(_, _ string, c syscall.RawConn) (err error) {
+func sharePort(_, _ string, c syscall.RawConn) (err error) {
 	control := c.Control(func(fd uintptr) {
 		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
 	})
