fleet: try every fault at every step and in pairs

Cause: the machines had only been tried on loopback. Change: a matrix of 8 steps and 17 faults, 7 of them also in pairs, from testdata; each cell looks at every balancer's list once a second. Seen failing first, and mended: - balancers that disagreed about homes made an announcer call them in turns without end (one run of the matrix took 368 s); a balancer that holds the lease or was just asked is left out; - a newcomer counted itself ready after a broken comparison or one with another newcomer; a message now says whether its sender is settled; - a half of the balancers cut from the other dropped living endpoints; a home now probes the endpoint itself before it doubts it; - a cut balancer did not hear of a drain; changes go to spares as well; - a newcomer insisted on dead seeds; it turns to the next at once. The first limit for newcomers, 6 s, is replaced by a stricter one: once ready they must list every endpoint, and they are ready within 10 s.

--- a/internal/bench/fleet/places.go
+++ b/internal/bench/fleet/places.go
@@ -11,6 +11,12 @@
 	// headers of HTTP/2, TLS, TCP and IP with acknowledgments, both directions.
 	CallOverheadBytes = 500
 
+	// ProbeBytes is the size of a probe or its answer, headers included.
+	ProbeBytes = 100
+
+	// seedCount is how many balancers the settings of every node name.
+	seedCount = 4
+
 	targetBalancers = 18000
 	targetEndpoints = 160000
 	regionCount     = 8
--- a/internal/bench/fleet/rig.go
+++ b/internal/bench/fleet/rig.go
@@ -29,6 +29,8 @@
 	Sizes bool
 	ends  map[netip.AddrPort]*Balancer
 	seeds []netip.AddrPort
+	// sides finds a side process, which answers probes of its own life only.
+	sides map[node.Incarnation]*Agent
 	ports uint32
 }
 
@@ -52,9 +54,8 @@
 	Machine *member.Node
 	// Events counts the machine's steps, without ticks.
 	Events int
-	// OnChanged and OnProbe are called for the actions of the same name.
+	// OnChanged is called for the action of the same name.
 	OnChanged func()
-	OnProbe   func(p member.Probe)
 	Behind    member.Head
 	requests  uint64
 }
@@ -75,6 +76,7 @@
 		Net:    lossy.New(c, seed, options...),
 		Random: rand.New(rand.NewPCG(seed, 1)),
 		ends:   map[netip.AddrPort]*Balancer{},
+		sides:  map[node.Incarnation]*Agent{},
 	}
 }
 
@@ -134,7 +136,7 @@
 // AddBalancer starts a balancer that knows the first balancers as seeds.
 func (g *Rig) AddBalancer(place zone.Place) *Balancer {
 	b := g.Start(g.Describe(place), g.seeds...)
-	if len(g.seeds) < 3 {
+	if len(g.seeds) < seedCount {
 		g.seeds = append(g.seeds, b.Self.Agent)
 	}
 	return b
@@ -158,6 +160,7 @@
 		Machine:  lease.NewAnnouncer(random, g.seeds),
 	}
 	g.Agents = append(g.Agents, a)
+	g.sides[e.Incarnation] = a
 	a.Update(e)
 	phase := time.Duration(g.Random.Int64N(int64(member.TickInterval)))
 	g.Clock.After(phase, a.tick)
@@ -275,15 +278,48 @@
 				b.OnChanged()
 			}
 		case member.Probe:
-			if b.OnProbe != nil {
-				b.OnProbe(a)
-			}
+			b.probe(a)
 		case member.Behind:
 			b.Behind = a.Head
 		}
 	}
 }
 
+// probe sends a datagram to the side process, which answers it.
+func (b *Balancer) probe(p member.Probe) {
+	a := b.rig.sides[p.Endpoint.Incarnation]
+	b.count(ProbeBytes)
+	if a == nil {
+		return
+	}
+	key := lease.Key{
+		Service:     p.Endpoint.Service,
+		Incarnation: p.Endpoint.Incarnation,
+	}
+	b.rig.Net.Send(lossy.Way{
+		From: b.name,
+		To:   a.name,
+	}, func() {
+		a.arrive(func() {
+			b.rig.Net.Send(lossy.Way{
+				From: a.name,
+				To:   b.name,
+			}, func() {
+				b.arrive(func() {
+					b.count(ProbeBytes)
+					b.Step(member.Answered{
+						Key: key,
+					})
+				})
+			})
+		})
+	})
+}
+
+func (p *process) count(bytes int) {
+	p.Bytes += bytes
+}
+
 func (b *Balancer) call(c member.Call) {
 	b.rig.carry(&b.process, c.To, c.Renew, c.Exchange, func(r reply) {
 		b.Step(member.Returned{
@@ -358,6 +394,10 @@
 }
 
 func (g *Rig) countRequest(from *process, to *Balancer, renew *lease.Renew, exchange *member.Exchange) {
+	from.Calls++
+	if to != nil {
+		to.Calls++
+	}
 	if !g.Sizes {
 		return
 	}
@@ -367,10 +407,8 @@
 	} else {
 		size += peer.ExchangeBytes(*exchange)
 	}
-	from.Calls++
 	from.Bytes += size
 	if to != nil {
-		to.Calls++
 		to.Bytes += size
 	}
 }
@@ -420,3 +458,8 @@
 		})
 	})
 }
+
+// Name is the process' end of the fake link.
+func (p *process) Name() string {
+	return p.name
+}
--- a/internal/bench/fleet/spread.go
+++ b/internal/bench/fleet/spread.go
@@ -111,7 +111,7 @@
 		selves = append(selves, self)
 	}
 	for i, self := range selves {
-		if i < 3 {
+		if i < seedCount {
 			g.seeds = append(g.seeds, self.Agent)
 		}
 		g.prepare(self, selves)
--- a/internal/edge/peer/decode.go
+++ b/internal/edge/peer/decode.go
@@ -143,6 +143,7 @@
 	if err != nil {
 		return out, err
 	}
+	out.Incarnation = node.Incarnation(in.GetIncarnation())
 	out.Doubts = readKeys(in.GetDoubts())
 	out.Message, err = readMessage(in.GetBody())
 	return out, err
@@ -163,6 +164,7 @@
 	}
 	out.Root = in.GetRoot()
 	out.Compare = in.GetCompare()
+	out.Settled = in.GetSettled()
 	out.Records, err = readRecords(in.GetRecords())
 	if err != nil {
 		return out, err
--- a/internal/edge/peer/encode.go
+++ b/internal/edge/peer/encode.go
@@ -86,9 +86,10 @@
 
 func writeExchange(in member.Exchange) *ExchangeRequest {
 	return &ExchangeRequest{
-		From:   writeAddress(in.From),
-		Body:   writeMessage(in.Message),
-		Doubts: writeKeys(in.Doubts),
+		From:        writeAddress(in.From),
+		Incarnation: uint64(in.Incarnation),
+		Body:        writeMessage(in.Message),
+		Doubts:      writeKeys(in.Doubts),
 	}
 }
 
@@ -100,12 +101,13 @@
 }
 
 func writeMessage(in spread.Message) *ExchangeBody {
-	if in.Empty() {
+	if in.Empty() && !in.Settled {
 		return nil
 	}
 	out := &ExchangeBody{
 		Root:    in.Root,
 		Compare: in.Compare,
+		Settled: in.Settled,
 		Records: writeRecords(in.Records),
 		Leaves:  writeLeaves(in.Leaves),
 		Wanted:  writeLeaves(in.Wanted),
--- a/internal/edge/peer/member.go
+++ b/internal/edge/peer/member.go
@@ -188,6 +188,14 @@
 	return m.machine.Endpoints()
 }
 
+// Ready tells whether the balancer knows the fleet well enough to judge flows. A
+// newcomer should take no packets before.
+func (m *Member) Ready() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.machine.Ready(time.Now())
+}
+
 // Balancers lists the balancers that are neither suspect nor away.
 func (m *Member) Balancers() []node.Endpoint {
 	m.mu.Lock()
--- a/internal/fleet/lease/announcer.go
+++ b/internal/fleet/lease/announcer.go
@@ -11,7 +11,11 @@
 
 // maxFailures is how many unanswered renewals in a row a home may leave before
 // a spare takes its place.
-const maxFailures = 2
+const maxFailures = 3
+
+// maxOwed is after how many unanswered renewals in a row a change is not told to
+// a balancer any more.
+const maxOwed = 8
 
 // Announcer is the end of a process that announces records. It is not safe for
 // concurrent use.
@@ -28,14 +32,23 @@
 // homeState is what the announcer knows of one balancer it renews with.
 type homeState struct {
 	failures int
+	// owed tells that the balancer has not answered since the last change.
+	owed bool
 	// retry is when an unanswered renewal is sent again.
 	retry time.Time
 	// avoid is until when a spare takes the balancer's place.
 	avoid time.Time
+	// asked is until when a renewal is under way.
+	asked time.Time
 	// until is how long the balancer surely holds the leases.
 	until time.Time
 }
 
+// quiet tells whether the balancer holds the lease or was just asked to.
+func (s *homeState) quiet(now time.Time) bool {
+	return s != nil && (now.Before(s.until) || now.Before(s.asked))
+}
+
 // AnnouncerEvent is one of Tick, Update, Contacts, Replied and Failed.
 type AnnouncerEvent interface{ announcerEvent() }
 
@@ -147,13 +160,16 @@
 		return a.sendAll(now)
 	}
 	var out []AnnouncerAction
-	for _, to := range a.targets(now) {
+	targets := a.targets(now)
+	for _, to := range a.told(targets) {
 		s := a.states[to]
 		if s == nil || s.retry.IsZero() || now.Before(s.retry) {
 			continue
 		}
 		s.retry = time.Time{}
-		out = append(out, a.send(to))
+		if s.owed || slices.Contains(targets, to) {
+			out = append(out, a.send(now, to))
+		}
 	}
 	return out
 }
@@ -174,12 +190,38 @@
 	}
 	r.Endpoint.Sequence = max(r.Endpoint.Sequence, a.records[i].Endpoint.Sequence+1)
 	a.records[i] = r
-	return a.sendAll(now)
+	return a.tell(now)
+}
+
+// told are the targets and all homes and spares.
+func (a *Announcer) told(targets []netip.AddrPort) []netip.AddrPort {
+	out := slices.Clone(a.homes)
+	for _, to := range targets {
+		if !slices.Contains(out, to) {
+			out = append(out, to)
+		}
+	}
+	return out
+}
+
+// tell sends a change to the spares as well as to the homes, so that it gets
+// about even while balancers can't reach each other.
+func (a *Announcer) tell(now time.Time) []AnnouncerAction {
+	out := a.sendAll(now)
+	targets := a.targets(now)
+	for _, to := range a.homes {
+		a.state(to).owed = true
+		if !slices.Contains(targets, to) {
+			out = append(out, a.send(now, to))
+		}
+	}
+	return out
 }
 
 func (a *Announcer) replied(now time.Time, e Replied) []AnnouncerAction {
 	s := a.state(e.From)
 	s.failures = 0
+	s.owed = false
 	s.retry = time.Time{}
 	s.avoid = time.Time{}
 	s.until = now.Add(Life)
@@ -199,7 +241,8 @@
 		return append(out, a.sendAll(now)...)
 	}
 	for _, to := range fresh {
-		out = append(out, a.send(to))
+		a.state(to).owed = true
+		out = append(out, a.send(now, to))
 	}
 	return out
 }
@@ -226,41 +269,50 @@
 	return false, true
 }
 
-// setHomes takes over a reply's list and returns the targets that are new.
+// setHomes takes over a reply's list and returns those that are new, spares too,
+// so that they hear of the records at least once. Those
+// that hold the lease or were just asked are left out, because balancers may
+// disagree about the homes for a while.
 func (a *Announcer) setHomes(now time.Time, homes []netip.AddrPort) []netip.AddrPort {
 	if len(homes) == 0 {
 		return nil
 	}
-	before := a.targets(now)
+	before := a.homes
 	a.homes = slices.Clone(homes)
-	a.forget()
-	return slices.DeleteFunc(a.targets(now), func(to netip.AddrPort) bool {
-		return slices.Contains(before, to)
+	a.forget(now)
+	return slices.DeleteFunc(slices.Clone(homes), func(to netip.AddrPort) bool {
+		return slices.Contains(before, to) || a.states[to].quiet(now)
 	})
 }
 
 // forget drops what is known of balancers that are no longer named.
-func (a *Announcer) forget() {
-	for to := range a.states {
-		if !slices.Contains(a.homes, to) && !slices.Contains(a.seeds, to) {
+func (a *Announcer) forget(now time.Time) {
+	for to, s := range a.states {
+		if !s.quiet(now) && !slices.Contains(a.homes, to) && !slices.Contains(a.seeds, to) {
 			delete(a.states, to)
 		}
 	}
 }
 
+// failed marks a target for a retry and turns to a spare after maxFailures.
 func (a *Announcer) failed(now time.Time, to netip.AddrPort) []AnnouncerAction {
 	before := a.targets(now)
 	s := a.state(to)
 	s.failures++
 	s.retry = now.Add(RetryInterval)
 	if s.failures >= maxFailures {
-		s.avoid = now.Add(2 * RenewInterval)
+		s.avoid = now.Add(RenewInterval)
+	}
+	if !slices.Contains(a.homes, to) {
 		a.seedAt++
 	}
+	if s.failures >= maxOwed {
+		s.owed = false
+	}
 	var out []AnnouncerAction
 	for _, t := range a.targets(now) {
 		if !slices.Contains(before, t) {
-			out = append(out, a.send(t))
+			out = append(out, a.send(now, t))
 		}
 	}
 	return out
@@ -274,14 +326,15 @@
 	a.next = now.Add(RenewInterval - jitter)
 	var out []AnnouncerAction
 	for _, to := range a.targets(now) {
-		out = append(out, a.send(to))
+		out = append(out, a.send(now, to))
 	}
 	return out
 }
 
-func (a *Announcer) send(to netip.AddrPort) Send {
+func (a *Announcer) send(now time.Time, to netip.AddrPort) Send {
 	s := a.state(to)
 	s.retry = time.Time{}
+	s.asked = now.Add(RetryInterval)
 	return Send{
 		To: to,
 		Renew: Renew{
--- a/internal/fleet/lease/registry.go
+++ b/internal/fleet/lease/registry.go
@@ -49,7 +49,7 @@
 	homes []netip.AddrPort
 }
 
-// RegistryEvent is one of Tick, Renewed, Learned, Asked and Vouched.
+// RegistryEvent is one of Tick, Renewed, Learned, Vouched and Heard.
 type RegistryEvent interface{ registryEvent() }
 
 // Renewed is a Renew that has arrived. Request is handed back in the Answer.
@@ -63,17 +63,24 @@
 	Record Record
 }
 
-// Vouched is another home's word that it has heard from the announcer.
+// Vouched is another home's word that it has heard from the announcer, or an
+// answer of the endpoint itself.
 type Vouched struct {
 	Key Key
 }
 
+// Heard tells that the announcer itself has sent something else than a Renew.
+type Heard struct {
+	Key Key
+}
+
+func (Heard) registryEvent()   {}
 func (Tick) registryEvent()    {}
 func (Renewed) registryEvent() {}
 func (Learned) registryEvent() {}
 func (Vouched) registryEvent() {}
 
-// RegistryAction is one of Answer, Publish and Ask.
+// RegistryAction is one of Answer, Publish, Ask and Probe.
 type RegistryAction interface{ registryAction() }
 
 // Answer replies to the Renewed event with the same request number.
@@ -87,12 +94,19 @@
 	Record Record
 }
 
-// Ask turns to another home of a lapsed record before it is suspected.
+// Ask turns to another home of a lapsed record before it is doubted.
 type Ask struct {
 	To  netip.AddrPort
 	Key Key
 }
 
+// Probe turns to the endpoint itself before it is doubted. Its answer counts as
+// Vouched.
+type Probe struct {
+	Endpoint node.Endpoint
+}
+
+func (Probe) registryAction()   {}
 func (Answer) registryAction()  {}
 func (Publish) registryAction() {}
 func (Ask) registryAction()     {}
@@ -127,8 +141,9 @@
 	case Learned:
 		return g.learned(now, e.Record)
 	case Vouched:
-		g.vouched(now, e.Key)
-		return nil
+		return g.vouched(now, e.Key)
+	case Heard:
+		return g.heard(now, e.Key)
 	default:
 		return nil
 	}
@@ -289,13 +304,44 @@
 	return slices.ContainsFunc(homes, func(b node.Endpoint) bool { return b.Incarnation == g.self })
 }
 
-func (g *Registry) vouched(now time.Time, key Key) {
+// heard renews a lease that is held here and takes back any doubt.
+func (g *Registry) heard(now time.Time, key Key) []RegistryAction {
+	r, ok := g.book.Lookup(key)
+	if !ok || r.Endpoint.State == node.Gone {
+		return nil
+	}
+	var out []RegistryAction
+	if r.Health != Live {
+		r = r.Overrule()
+		out = append(out, Publish{
+			Record: r,
+		})
+	}
+	if g.leases[key] != nil {
+		g.hold(now, r)
+	}
+	return out
+}
+
+// vouched extends a lease that was about to be doubted, and takes back a doubt.
+func (g *Registry) vouched(now time.Time, key Key) []RegistryAction {
 	h := g.leases[key]
-	if h == nil || !h.asked || h.version.Health != Live {
-		return
+	r, ok := g.book.Lookup(key)
+	if h == nil || !h.asked || !ok || r.Tombstone() {
+		return nil
 	}
 	h.asked = false
 	h.until = now.Add(Life / 2)
+	if r.Health == Live {
+		return nil
+	}
+	r = r.Overrule()
+	h.version = r.Version()
+	return []RegistryAction{
+		Publish{
+			Record: r,
+		},
+	}
 }
 
 func (g *Registry) tick(now time.Time) []RegistryAction {
@@ -348,15 +394,15 @@
 		delete(g.leases, key)
 		return out
 	}
+	if !h.asked {
+		return g.ask(now, r, h, out)
+	}
 	if h.version.Health == Suspect {
 		delete(g.leases, key)
 		return append(out, Publish{
 			Record: r.Doubt(Absent, now.Add(TombstoneLife)),
 		})
 	}
-	if !h.asked {
-		return g.ask(now, r, h, out)
-	}
 	r = r.Doubt(Suspect, time.Time{})
 	h.version = r.Version()
 	h.asked = false
@@ -369,6 +415,9 @@
 func (g *Registry) ask(now time.Time, r Record, h *held, out []RegistryAction) []RegistryAction {
 	h.asked = true
 	h.until = now.Add(AskLife)
+	out = append(out, Probe{
+		Endpoint: r.Endpoint,
+	})
 	for _, b := range Homes(r.Endpoint, g.book.Candidates(r.Endpoint), HomeCount+SpareCount) {
 		if b.Incarnation == g.self {
 			continue
--- a/internal/fleet/member/message.go
+++ b/internal/fleet/member/message.go
@@ -10,9 +10,10 @@
 
 // Exchange is what one balancer says to another.
 type Exchange struct {
-	// From is the control address of the sender.
-	From    netip.AddrPort
-	Message spread.Message
+	// From and Incarnation are those of the sender.
+	From        netip.AddrPort
+	Incarnation node.Incarnation
+	Message     spread.Message
 	// Doubts are records whose lease has lapsed at the sender.
 	Doubts []lease.Key
 }
--- a/internal/fleet/member/node.go
+++ b/internal/fleet/member/node.go
@@ -102,6 +102,12 @@
 	return n.spread.Peers()
 }
 
+// Ready tells whether the balancer knows the fleet well enough to judge flows. A
+// newcomer should take no packets before.
+func (n *Node) Ready(now time.Time) bool {
+	return n.spread.Settled(now)
+}
+
 // Step takes one event and tells what is to be done.
 func (n *Node) Step(now time.Time, event Event) []Action {
 	n.now = now
@@ -119,6 +125,7 @@
 		out = n.fromWatch(n.watch.Step(now, watch.Answered{
 			Key: e.Key,
 		}))
+		out = append(out, n.vouched(now, []lease.Key{e.Key})...)
 	case Seeds:
 		n.spread.Step(now, spread.Seeds{
 			Addresses: e.Addresses,
@@ -203,7 +210,12 @@
 		From:    e.Exchange.From,
 		Message: e.Exchange.Message,
 	})
-	var out []Action
+	out := n.fromRegistry(now, n.registry.Step(now, lease.Heard{
+		Key: lease.Key{
+			Service:     lease.Balancers,
+			Incarnation: e.Exchange.Incarnation,
+		},
+	}))
 	for _, a := range actions {
 		if answer, ok := a.(spread.Answer); ok {
 			reply.Message = answer.Message
--- a/internal/fleet/member/route.go
+++ b/internal/fleet/member/route.go
@@ -98,10 +98,18 @@
 			out = append(out, n.publish(now, a.Record)...)
 		case lease.Ask:
 			exchange := &Exchange{
-				From:   n.self.Agent,
-				Doubts: []lease.Key{a.Key},
+				From:        n.self.Agent,
+				Incarnation: n.self.Incarnation,
+				Doubts:      []lease.Key{a.Key},
 			}
 			out = append(out, n.call(a.To, asking, false, nil, exchange))
+		case lease.Probe:
+			if a.Endpoint.Service != lease.Balancers {
+				out = append(out, Probe{
+					Endpoint: a.Endpoint,
+					Fresh:    true,
+				})
+			}
 		case lease.Answer:
 			out = append(out, AnswerRenew{
 				Request: a.Request,
@@ -118,8 +126,9 @@
 		switch a := a.(type) {
 		case spread.Send:
 			exchange := &Exchange{
-				From:    n.self.Agent,
-				Message: a.Message,
+				From:        n.self.Agent,
+				Incarnation: n.self.Incarnation,
+				Message:     a.Message,
 			}
 			out = append(out, n.call(a.To, spreading, a.Fresh, nil, exchange))
 		case spread.Learned:
--- /dev/null
+++ b/internal/fleet/member/script_test.go
@@ -0,0 +1,264 @@
+package member_test
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clementinewing/clementinewing/internal/bench/fleet"
+	"github.com/clementinewing/clementinewing/internal/fake/lossy"
+	"github.com/clementinewing/clementinewing/internal/fleet/member"
+	"github.com/clementinewing/clementinewing/internal/world/node"
+	"github.com/clementinewing/clementinewing/internal/world/pact"
+)
+
+// line is one command of a script.
+type line struct {
+	at   time.Duration
+	verb string
+	args []string
+}
+
+type section struct {
+	name  string
+	lines []line
+}
+
+// sections reads a script of named sections.
+func sections(path string) (out []section) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		panic(err)
+	}
+	for text := range strings.Lines(string(raw)) {
+		fields := strings.Fields(text)
+		switch {
+		case len(fields) == 0 || fields[0] == "#":
+		case strings.HasPrefix(fields[0], "["):
+			out = append(out, section{
+				name: strings.Trim(fields[0], "[]"),
+			})
+		default:
+			ms, err := strconv.Atoi(fields[0])
+			if err != nil {
+				panic(err)
+			}
+			s := &out[len(out)-1]
+			s.lines = append(s.lines, line{
+				at:   time.Duration(ms) * time.Millisecond,
+				verb: fields[1],
+				args: fields[2:],
+			})
+		}
+	}
+	return out
+}
+
+// agent is a side process and what the test did to it.
+type agent struct {
+	*fleet.Agent
+	since  time.Time
+	left   time.Time
+	died   time.Time
+	taken  bool
+	paused bool
+}
+
+type balancer struct {
+	*fleet.Balancer
+	since  time.Time
+	paused bool
+	woken  bool
+}
+
+// cell is one run of the matrix.
+type cell struct {
+	rig       *fleet.Rig
+	balancers map[string]*balancer
+	agents    map[string]*agent
+	head      uint64
+	heads     map[string]uint64
+	calm      time.Time
+}
+
+func newCell(seed uint64, script []line) *cell {
+	loss, double := 0.0, 0.0
+	for _, l := range script {
+		switch l.verb {
+		case "loss":
+			loss = percent(l.args[0])
+		case "double":
+			double = percent(l.args[0])
+		}
+	}
+	c := &cell{
+		rig: fleet.NewRig(seed,
+			lossy.WithDelay(time.Millisecond, 20*time.Millisecond),
+			lossy.WithLoss(loss, double),
+		),
+		balancers: map[string]*balancer{},
+		agents:    map[string]*agent{},
+		heads:     map[string]uint64{},
+	}
+	for _, name := range []string{"b1", "b2", "b3", "b4"} {
+		c.join(name)
+	}
+	for _, name := range []string{"e1", "e2", "e3", "e4", "e5"} {
+		c.announce(name, node.Endpoint{})
+	}
+	return c
+}
+
+func percent(text string) float64 {
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		panic(err)
+	}
+	return float64(n) / 100
+}
+
+func (c *cell) now() time.Time {
+	return c.rig.Clock.Now()
+}
+
+func (c *cell) join(name string) {
+	c.balancers[name] = &balancer{
+		Balancer: c.rig.AddBalancer(fleet.Oberbayern[len(c.balancers)%len(fleet.Oberbayern)]),
+		since:    c.now(),
+	}
+}
+
+func (c *cell) announce(name string, at node.Endpoint) {
+	at.Service = pact.Identify("dienstplan")
+	at.Upstream = name
+	at.Place = fleet.Oberbayern[len(c.agents)%len(fleet.Oberbayern)]
+	at.Weight = 1
+	at.State = node.Serving
+	c.agents[name] = &agent{
+		Agent: c.rig.AddAgent(at),
+		since: c.now(),
+	}
+}
+
+func (c *cell) run(l line) {
+	c.calm = c.now()
+	switch l.verb {
+	case "announce":
+		c.announce(l.args[0], node.Endpoint{})
+	case "reuse":
+		old := c.agents[l.args[0]]
+		old.taken = true
+		c.announce(l.args[1], node.Endpoint{
+			Agent: old.Endpoint.Agent,
+		})
+	case "drain", "leave", "weigh":
+		c.change(c.agents[l.args[0]], l)
+	case "adopt":
+		c.adopt(c.balancers[l.args[0]], l.args[1])
+	case "join":
+		c.join(l.args[0])
+	case "stop":
+		c.stop(c.balancers[l.args[0]])
+	case "kill", "pause", "wake":
+		c.strike(l.verb, l.args[0])
+	case "cut", "heal":
+		c.cut(l.args[0], l.args[1], l.verb == "cut")
+	case "oneway":
+		c.rig.Net.Cut(lossy.Way{
+			From: c.end(l.args[0]),
+			To:   c.end(l.args[1]),
+		}, true)
+	case "loss", "double":
+	default:
+		panic("unknown command " + l.verb)
+	}
+}
+
+func (c *cell) change(a *agent, l line) {
+	e := a.Endpoint
+	switch l.verb {
+	case "drain":
+		e.State = node.Draining
+		a.left = c.now()
+	case "leave":
+		e.State = node.Gone
+		a.left = c.now()
+	case "weigh":
+		weight, err := strconv.Atoi(l.args[1])
+		Expect(err).NotTo(HaveOccurred())
+		e.Weight = uint32(weight)
+	}
+	a.Update(e)
+}
+
+func (c *cell) adopt(b *balancer, revision string) {
+	n, err := strconv.ParseUint(revision, 10, 64)
+	Expect(err).NotTo(HaveOccurred())
+	c.head = n
+	b.Step(member.Adopted{
+		Head: member.Head{
+			Revision: n,
+			Hash:     "hash-" + revision,
+		},
+	})
+}
+
+// stop lets a balancer say that it is gone, then ends it.
+func (c *cell) stop(b *balancer) {
+	gone := b.Self
+	gone.State = node.Gone
+	b.Step(member.Update{
+		Endpoint: gone,
+	})
+	c.rig.Clock.After(time.Second, b.Kill)
+}
+
+func (c *cell) strike(verb, name string) {
+	b, a := c.balancers[name], c.agents[name]
+	switch {
+	case verb == "kill" && a != nil:
+		a.Kill()
+		a.died = c.now()
+	case verb == "kill":
+		b.Kill()
+	case verb == "pause" && a != nil:
+		a.paused = true
+		a.Pause()
+	case verb == "pause":
+		b.paused = true
+		b.Pause()
+	case a != nil:
+		a.paused = false
+		a.Wake()
+	default:
+		b.paused = false
+		b.woken = true
+		b.since = c.now()
+		b.Wake()
+	}
+}
+
+func (c *cell) cut(x, y string, cut bool) {
+	for _, way := range []lossy.Way{
+		{
+			From: c.end(x),
+			To:   c.end(y),
+		},
+		{
+			From: c.end(y),
+			To:   c.end(x),
+		},
+	} {
+		c.rig.Net.Cut(way, cut)
+	}
+}
+
+func (c *cell) end(name string) string {
+	if a := c.agents[name]; a != nil {
+		return a.Name()
+	}
+	return c.balancers[name].Name()
+}
--- a/internal/fleet/spread/range.go
+++ b/internal/fleet/spread/range.go
@@ -13,8 +13,8 @@
 	// record and not split further.
 	leafRecords = 64
 	// maxRecords bounds the records of one message. What is left over follows
-	// with the next exchange.
-	maxRecords = 512
+	// with a comparison right after.
+	maxRecords = 4000
 )
 
 // Message is what two balancers exchange, in either direction: records that are
@@ -23,6 +23,8 @@
 	// Root is the hash over all records of the sender, if Compare is set.
 	Root    uint64
 	Compare bool
+	// Settled tells that the sender itself is no newcomer.
+	Settled bool
 	Records []lease.Record
 	Splits  []Split
 	Leaves  []Leaf
--- a/internal/fleet/spread/spread.go
+++ b/internal/fleet/spread/spread.go
@@ -17,10 +17,15 @@
 	PushInterval = 200 * time.Millisecond
 	// RetryInterval is the time before an unanswered push is sent again.
 	RetryInterval = 400 * time.Millisecond
+	// SettleLife bounds how long a newcomer waits for a settled peer.
+	SettleLife = 10 * time.Second
 	// Fanout is to how many peers a learned change is pushed on.
 	Fanout = 4
 	// maxTries is how often a push is sent to a peer that does not answer.
 	maxTries = 4
+	// maxComparisonTries is how often a part of a comparison is sent before the
+	// next peer is turned to. A newcomer turns to the next at once.
+	maxComparisonTries = 2
 	// lostTurn is at every how many comparisons one goes to a lost balancer.
 	lostTurn = 4
 	// maxRounds bounds the messages of one comparison.
@@ -41,6 +46,9 @@
 	// listed is the table's list of balancers that peers were chosen from.
 	listed []node.Endpoint
 	ready  []netip.AddrPort
+	// compared tells that a comparison with a settled peer has ended.
+	compared bool
+	started  time.Time
 }
 
 // link is what is under way to one peer.
@@ -49,7 +57,11 @@
 	sent    []lease.Key
 	busy    bool
 	rounds  int
-	tries   int
+	// compares tells that a comparison is under way, cut that an answer to it was
+	// cut short.
+	compares bool
+	cut      bool
+	tries    int
 	// unanswered is the part of a comparison that is sent again after a failure.
 	unanswered Message
 	at         time.Time
@@ -140,6 +152,12 @@
 	return s.targets()
 }
 
+// Settled tells whether the table was once brought in step with that of a settled
+// peer, or there is no peer, or SettleLife has passed.
+func (s *Spread) Settled(now time.Time) bool {
+	return s.compared || len(s.Peers()) == 0 || !s.started.IsZero() && now.After(s.started.Add(SettleLife))
+}
+
 // Step takes one event and tells what is to be done.
 func (s *Spread) Step(now time.Time, event Event) []Action {
 	switch e := event.(type) {
@@ -165,6 +183,9 @@
 }
 
 func (s *Spread) tick(now time.Time) []Action {
+	if s.started.IsZero() {
+		s.started = now
+	}
 	s.table.Forget(now)
 	s.choose()
 	out := s.compare(now)
@@ -206,6 +227,7 @@
 		return nil
 	}
 	l.rounds = 0
+	l.compares = true
 	return []Action{s.push(now, to, l, s.table.Opening())}
 }
 
@@ -230,6 +252,7 @@
 func (s *Spread) requested(now time.Time, e Requested) []Action {
 	s.known(e.From, e.Message)
 	reply, news := s.table.Respond(now, e.Message)
+	reply.Settled = s.Settled(now)
 	out := s.learn(e.From, news)
 	return append(out, Answer{
 		Request: e.Request,
@@ -251,12 +274,28 @@
 	next, news := s.table.Respond(now, e.Message)
 	out := s.learn(e.From, news)
 	l.rounds++
+	l.cut = l.cut || len(e.Message.Records) >= maxRecords
 	if next.Empty() || l.rounds > maxRounds {
+		s.ended(now, l, e.Message.Settled)
 		return out
 	}
 	return append(out, s.push(now, e.From, l, next))
 }
 
+// ended closes a comparison. One whose answer was cut short is followed by the
+// next at once; one with another newcomer proves nothing.
+func (s *Spread) ended(now time.Time, l *link, settled bool) {
+	switch {
+	case !l.compares:
+	case l.cut:
+		s.next = now
+	case settled:
+		s.compared = true
+	}
+	l.compares = false
+	l.cut = false
+}
+
 // learn passes news on and queues them for other peers.
 func (s *Spread) learn(from netip.AddrPort, news []lease.Record) []Action {
 	out := make([]Action, 0, len(news)+1)
@@ -296,9 +335,14 @@
 	l.at = now.Add(RetryInterval)
 	sent := l.sent
 	l.sent = nil
+	if !l.unanswered.Empty() && (l.tries >= maxComparisonTries || !s.compared) {
+		l.unanswered = Message{}
+		l.compares = false
+		l.cut = false
+		s.next = now
+	}
 	if l.tries >= maxTries {
 		l.pending = nil
-		l.unanswered = Message{}
 		l.tries = 0
 		return
 	}
