bench: count the calls of a fleet to the store

A first run left nodes without the newest file 30 s after an outage: watchers waited up to 15 s between tries; now up to 5 s, which 42 watchers can afford.

--- a/cmd/cwlab/table.go
+++ b/cmd/cwlab/table.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/clementinewing/clementinewing/internal/bench/load"
 	"github.com/clementinewing/clementinewing/internal/bench/report"
+	"github.com/clementinewing/clementinewing/internal/bench/store"
 )
 
 // defaultSeeds is how many seeds each figure is taken over.
@@ -23,5 +24,10 @@
 			Usage: "spread of work over the upstreams, against other policies and a central queue",
 			Run:   load.Run,
 		},
+		{
+			Name:  "store",
+			Usage: "calls a second to the store, against fleet size, changes, replacement and outage",
+			Run:   store.Run,
+		},
 	}
 }
--- a/internal/board/adopt/adopt.go
+++ b/internal/board/adopt/adopt.go
@@ -24,7 +24,7 @@
 	// leastWait bounds the wait after a first failure; mostWatchWait and
 	// mostFetchWait that after many.
 	leastWait     = 500 * time.Millisecond
-	mostWatchWait = 15 * time.Second
+	mostWatchWait = 5 * time.Second
 	mostFetchWait = 4 * time.Second
 )
 
--- a/internal/board/adopt/goal.go
+++ b/internal/board/adopt/goal.go
@@ -29,6 +29,9 @@
 // up, so that a revision that nobody can show does not stand in the way.
 const maxMisses = 4
 
+// peerTries is how often a part is asked of peers before the store.
+const peerTries = 3
+
 // aim makes a revision the goal. A goal under way is finished first, so that
 // changes which come faster than a file can be fetched don't starve the node,
 // unless its record turns out to be unknown.
@@ -93,17 +96,18 @@
 	}
 }
 
-// other turns to the other source. The store holds no records by hash, so a
-// record that is still missing can only come from peers.
+// other turns to the other source: to peers at once, to the store only after
+// several tries, so that a fleet whose peers are slow does not turn to the store
+// as one. The store holds no records by hash, so a record that is still missing
+// can only come from peers.
 func (g *goal) other() {
 	g.pending = false
+	g.misses++
 	switch {
-	case g.parts == nil:
+	case g.parts == nil || g.source == Store:
 		g.source = Peers
-	case g.source == Peers:
+	case g.misses%peerTries == 0:
 		g.source = Store
-	default:
-		g.source = Peers
 	}
 }
 
@@ -114,7 +118,6 @@
 	}
 	g.other()
 	g.due = m.fetchBackoff.Next(now)
-	g.misses++
 	if m.later != nil {
 		m.goal = nil
 		return m.startLater(now)
@@ -154,6 +157,7 @@
 	}
 	m.goal.encoded = encoded
 	m.goal.record = r
+	m.goal.misses = 0
 	m.goal.parts = file.NewAssembly(r.Proposal.Content, held)
 	return m.proceed(now)
 }
