--- a/internal/fake/agent/act.go
+++ b/internal/fake/agent/act.go
@@ -19,9 +19,10 @@
 // most is the longest list of candidates.
 const most = 16
 
-// extend adds the endpoints that this process knows and the list lacks.
+// extend adds the endpoints that this process knows and the list lacks. It knows
+// those of its own service alone.
 func (a *Agent) extend(m *Message) {
-	if m.Segment.Kind == link.Opening {
+	if m.Service != a.Endpoint.Service {
 		return
 	}
 	var missing []node.Endpoint
