file: read operators' files through the strict line reader

The line index of operators' files had been generalized for settings and stood twice. Operators' files now go through the shared reader; their scripts of faults pass unchanged.

--- a/internal/board/file/file.go
+++ b/internal/board/file/file.go
@@ -20,8 +20,6 @@
 const (
 	// MaxBytes bounds the text of one file, in bytes.
 	MaxBytes = 32 << 20
-	// MaxNameBytes bounds a name, in bytes.
-	MaxNameBytes = 63
 	// MaxUpstreams bounds the names that one service may list.
 	MaxUpstreams = 4096
 	// MaxWeight is the largest weight of an upstream.
--- a/internal/board/file/parse.go
+++ b/internal/board/file/parse.go
@@ -2,20 +2,25 @@
 
 import (
 	"fmt"
+	"regexp"
 	"slices"
 	"strings"
 
-	"github.com/rotisserie/eris"
-	"gopkg.in/ini.v1"
-
+	"github.com/clementinewing/clementinewing/internal/conf/lines"
 	"github.com/clementinewing/clementinewing/internal/world/pact"
 )
 
-// Parse reads a whole file. The error is Faults with everything that is wrong,
-// or tells that the text is too large; path only names the file in it.
+// nameRule is the rule of names that stand in headings and in packets: without
+// dots, which the INI library would take for a parent section.
+var nameRule = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+const nameAllowed = "1 to 63 of a-z, 0-9 and -, with no - at either end"
+
+// Parse reads a whole file. The error is lines.Faults with everything that is
+// wrong, or tells that the text is too large; path only names the file in it.
 func Parse(path string, text []byte) (f File, err error) {
 	if len(text) > MaxBytes {
-		return f, Faults{
+		return f, lines.Faults{
 			{
 				Path:    path,
 				Line:    1,
@@ -24,48 +29,45 @@
 			},
 		}
 	}
-	x := newIndex(path, string(text))
-	parsed, err := load(x)
+	d, err := lines.Load(path, string(text), checkHeading)
 	if err != nil {
 		return f, err
 	}
-	f = build(x, parsed)
-	if err = x.faults.orNil(); err != nil {
+	f = build(d)
+	if err = d.Err(); err != nil {
 		return File{}, err
 	}
 	return f, nil
 }
 
-func load(x *index) (parsed *ini.File, err error) {
-	defer func() { err = eris.Wrapf(err, "reading %s", x.path) }()
-	options := ini.LoadOptions{
-		IgnoreContinuation:       true,
-		SpaceBeforeInlineComment: true,
-		PreserveSurroundedQuote:  true,
-		KeyValueDelimiters:       "=",
+// checkHeading gives what is wrong with a section's name, or nothing.
+func checkHeading(name string) (problem, allowed string) {
+	if name == "file" {
+		return "", ""
+	}
+	kind, rest, _ := strings.Cut(name, " ")
+	switch kind {
+	case "operator", "service", "upstream":
+	default:
+		return "unknown section", "[file], [operator NAME], [service NAME], [upstream NAME]"
+	}
+	if !nameRule.MatchString(rest) {
+		return fmt.Sprintf("%q is no name", rest), nameAllowed
 	}
-	return ini.LoadSources(options, []byte(strings.Join(x.clean, "\n")))
+	return "", ""
 }
 
-func build(x *index, parsed *ini.File) (f File) {
-	if _, ok := x.sections["file"]; !ok && !x.broken[""] {
-		x.faults = append(x.faults, Fault{
-			Path:    x.path,
-			Line:    1,
-			Section: "file",
-			Problem: "section is missing",
-			Allowed: "exactly one",
-		})
+func build(d *lines.Document) (f File) {
+	header := reader{
+		Section: d.Section("file"),
 	}
-	for _, s := range parsed.Sections() {
+	header.header(&f)
+	for _, s := range d.Sections() {
 		r := reader{
-			index:   x,
-			section: s,
+			Section: s,
 		}
 		kind, name, _ := strings.Cut(s.Name(), " ")
 		switch kind {
-		case "file":
-			r.file(&f)
 		case "operator":
 			f.Operators = append(f.Operators, r.operator(name))
 		case "service":
@@ -75,22 +77,22 @@
 		}
 	}
 	f.sort()
-	checkWhole(x, f)
+	checkWhole(d, f)
 	return f
 }
 
-func (r reader) file(f *File) {
-	r.only("name", "base", "chair")
+func (r reader) header(f *File) {
+	r.Only("name", "base", "chair")
 	f.Name = r.name("name")
-	f.Base = r.number("base", limits{
-		required: true,
-		most:     1<<63 - 1,
+	f.Base = r.Number("base", lines.Limits{
+		Required: true,
+		Most:     1<<63 - 1,
 	})
 	f.Chair = r.name("chair")
 }
 
 func (r reader) operator(name string) Operator {
-	r.only("key")
+	r.Only("key")
 	return Operator{
 		Name: name,
 		Key:  r.publicKey("key"),
@@ -98,44 +100,44 @@
 }
 
 func (r reader) service(name string) Service {
-	r.only("address", "protocol", "contract", "upstreams", "weight_on", "slots", "connections", "drain_seconds")
+	r.Only("address", "protocol", "contract", "upstreams", "weight_on", "slots", "connections", "drain_seconds")
 	s := Service{
 		Pact: pact.Service{
 			Name:      name,
 			ID:        pact.Identify(name),
-			Address:   r.address("address"),
+			Address:   r.Address("address"),
 			Protocol:  r.protocol("protocol"),
 			Contract:  r.contract("contract"),
 			Upstreams: r.names("upstreams"),
 		},
 		WeightOn: r.weightOn("weight_on"),
-		Slots: uint32(r.number("slots", limits{
-			least: 1,
-			most:  MaxSlots,
+		Slots: uint32(r.Number("slots", lines.Limits{
+			Least: 1,
+			Most:  MaxSlots,
 		})),
-		Connections: uint32(r.number("connections", limits{
-			least: 1,
-			most:  MaxConnections,
+		Connections: uint32(r.Number("connections", lines.Limits{
+			Least: 1,
+			Most:  MaxConnections,
 		})),
-		DrainSeconds: uint32(r.number("drain_seconds", limits{
-			most:  MaxDrainSeconds,
-			unset: DefaultDrainSeconds,
+		DrainSeconds: uint32(r.Number("drain_seconds", lines.Limits{
+			Most:  MaxDrainSeconds,
+			Unset: DefaultDrainSeconds,
 		})),
 	}
 	if s.Pact.Protocol == pact.UDP && s.Pact.Contract == pact.Once {
-		r.fault("contract", "once over udp, which has no handshake to refuse in", "repeatable over udp, or protocol = tcp")
+		r.Fault("contract", "once over udp, which has no handshake to refuse in", "repeatable over udp, or protocol = tcp")
 	}
 	return s
 }
 
 func (r reader) upstream(name string) Upstream {
-	r.only("weight")
+	r.Only("weight")
 	return Upstream{
 		Name: name,
-		Weight: uint32(r.number("weight", limits{
-			required: true,
-			least:    1,
-			most:     MaxWeight,
+		Weight: uint32(r.Number("weight", lines.Limits{
+			Required: true,
+			Least:    1,
+			Most:     MaxWeight,
 		})),
 	}
 }
--- a/internal/board/file/whole.go
+++ b/internal/board/file/whole.go
@@ -4,34 +4,28 @@
 	"fmt"
 	"net/netip"
 
+	"github.com/clementinewing/clementinewing/internal/conf/lines"
 	"github.com/clementinewing/clementinewing/internal/world/pact"
 )
 
 // checkWhole looks for faults that show only between sections.
-func checkWhole(x *index, f File) {
-	checkChair(x, f)
-	checkKeys(x, f)
-	checkServices(x, f)
+func checkWhole(d *lines.Document, f File) {
+	checkChair(d, f)
+	checkKeys(d, f)
+	checkServices(d, f)
 }
 
-func checkChair(x *index, f File) {
+func checkChair(d *lines.Document, f File) {
 	if f.Chair == "" {
 		return
 	}
-	if _, ok := x.sections["operator "+f.Chair]; ok {
+	if _, ok := f.Operator(f.Chair); ok {
 		return
 	}
-	x.faults = append(x.faults, Fault{
-		Path:    x.path,
-		Line:    x.line("file", "chair"),
-		Section: "file",
-		Key:     "chair",
-		Problem: fmt.Sprintf("%s is no operator of this file", f.Chair),
-		Allowed: "a NAME with a section [operator NAME]",
-	})
+	d.Fault("file", "chair", fmt.Sprintf("%s is no operator of this file", f.Chair), "a NAME with a section [operator NAME]")
 }
 
-func checkKeys(x *index, f File) {
+func checkKeys(d *lines.Document, f File) {
 	owners := map[string]string{}
 	for _, o := range f.Operators {
 		if len(o.Key) == 0 {
@@ -42,11 +36,11 @@
 			owners[string(o.Key)] = o.Name
 			continue
 		}
-		x.between("operator "+o.Name, "key", "the key is also the key of "+first)
+		between(d, "operator "+o.Name, "key", "the key is also the key of "+first)
 	}
 }
 
-func checkServices(x *index, f File) {
+func checkServices(d *lines.Document, f File) {
 	type target struct {
 		address  netip.AddrPort
 		protocol pact.Protocol
@@ -56,7 +50,7 @@
 	for i := range f.Services {
 		p := f.Services[i].Pact
 		if first, ok := numbers[p.ID]; ok {
-			x.between("service "+p.Name, "", "the name has the same identifier as "+first)
+			between(d, "service "+p.Name, "", "the name has the same identifier as "+first)
 		}
 		numbers[p.ID] = p.Name
 		if !p.Address.IsValid() || p.Protocol == 0 {
@@ -67,7 +61,7 @@
 			protocol: p.Protocol,
 		}
 		if first, ok := targets[t]; ok {
-			x.between("service "+p.Name, "address", "the address is also the address of "+first)
+			between(d, "service "+p.Name, "address", "the address is also the address of "+first)
 			continue
 		}
 		targets[t] = p.Name
@@ -75,13 +69,6 @@
 }
 
 // between adds a fault that two sections make together.
-func (x *index) between(section, key, problem string) {
-	x.faults = append(x.faults, Fault{
-		Path:    x.path,
-		Line:    x.line(section, key),
-		Section: section,
-		Key:     key,
-		Problem: problem,
-		Allowed: "one of each",
-	})
+func between(d *lines.Document, section, key, problem string) {
+	d.Fault(section, key, problem, "one of each")
 }
