board: recover diskless fleets, from peers and after partitions

Scenarios over the experiment's fleet: in force within seconds, all nodes replaced one after another, all at once with the store up, half with the store down, an hour without the store, a domain cut off for an hour and healed or replaced meanwhile, watches dropped. The highest accepted revision is in force everywhere afterwards and no node steps back.

--- a/internal/bench/store/fleet.go
+++ b/internal/bench/store/fleet.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/board/adopt"
-	"github.com/clementinewing/clementinewing/internal/board/file"
 	"github.com/clementinewing/clementinewing/internal/board/head"
 	"github.com/clementinewing/clementinewing/internal/edge/store"
 	"github.com/clementinewing/clementinewing/internal/fake/clock"
@@ -32,16 +31,17 @@
 
 // fleet is a number of nodes in failure domains, the store and its operators.
 type fleet struct {
-	clock   *clock.Clock
-	random  *rand.Rand
-	memory  *fake.Memory
-	down    bool
+	clock  *clock.Clock
+	random *rand.Rand
+	memory *fake.Memory
+	down   bool
+	// cut domains reach neither the store nor nodes of other domains.
+	cut     map[int]bool
 	nodes   []*node
 	domains [][]*node
 	// waiting are the calls that break when the store goes down.
 	waiting map[*node]func()
 	meter   meter
-	records map[uint64]file.Hash
 	started int
 }
 
@@ -65,7 +65,7 @@
 		nodes:   make([]*node, size),
 		domains: make([][]*node, domains),
 		waiting: map[*node]func(){},
-		records: map[uint64]file.Hash{},
+		cut:     map[int]bool{},
 	}
 	return f
 }
@@ -134,7 +134,7 @@
 // other's.
 func (n *node) gossip() {
 	peer := n.fleet.nodes[n.fleet.random.IntN(len(n.fleet.nodes))]
-	if peer == nil || peer == n {
+	if peer == nil || peer == n || !n.reaches(peer) {
 		return
 	}
 	ahead, behind := n, peer
@@ -176,7 +176,7 @@
 func (n *node) watch(a adopt.Watch) {
 	f := n.fleet
 	f.meter.read(f.clock.Now())
-	if f.down {
+	if n.storeless() {
 		n.later(adopt.StoreAway{})
 		return
 	}
@@ -227,7 +227,7 @@
 	f := n.fleet
 	if a.Source == adopt.Store {
 		f.meter.read(f.clock.Now())
-		if f.down {
+		if n.storeless() {
 			return nil, false
 		}
 		e := f.memory.Get(head.ContentKey(a.Hash))
@@ -238,7 +238,7 @@
 		asked = append(asked, f.nodes[f.random.IntN(len(f.nodes))])
 	}
 	for _, peer := range asked {
-		if peer == nil || peer.gone || peer.machine.Held() == nil {
+		if peer == nil || peer.gone || !n.reaches(peer) || peer.machine.Held() == nil {
 			continue
 		}
 		if part, ok = peer.machine.Held().Parts[a.Hash]; ok {
@@ -261,6 +261,25 @@
 	}
 }
 
+// setCut cuts a domain off, which breaks its waiting calls, or heals it.
+func (f *fleet) setCut(domain int, cut bool) {
+	f.cut[domain] = cut
+	for _, n := range f.domains[domain] {
+		if stop := f.waiting[n]; stop != nil && cut {
+			stop()
+		}
+	}
+}
+
+func (n *node) storeless() bool {
+	return n.fleet.down || n.fleet.cut[n.domain]
+}
+
+func (n *node) reaches(peer *node) bool {
+	cut := n.fleet.cut[n.domain] || n.fleet.cut[peer.domain]
+	return n.domain == peer.domain || !cut
+}
+
 func (f *fleet) span(most time.Duration) time.Duration {
 	return time.Duration(f.random.Int64N(int64(most)))
 }
--- /dev/null
+++ b/internal/edge/follow/suite_test.go
@@ -0,0 +1,13 @@
+package follow_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestFollow(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "follow")
+}
