--- a/cmd/cwlab/table.go
+++ b/cmd/cwlab/table.go
@@ -6,6 +6,7 @@
 	"github.com/clementinewing/clementinewing/internal/bench/load"
 	"github.com/clementinewing/clementinewing/internal/bench/path"
 	"github.com/clementinewing/clementinewing/internal/bench/report"
+	"github.com/clementinewing/clementinewing/internal/bench/store"
 )
 
 // defaultSeeds is how many seeds each figure is taken over.
@@ -54,5 +55,10 @@
 			Usage: "the balancer's packet path: decision, throughput against a bare relay, memory",
 			Run:   path.Run,
 		},
+		{
+			Name:  "store",
+			Usage: "calls a second to the store, against fleet size, changes, replacement and outage",
+			Run:   store.Run,
+		},
 	}
 }
