flow: let callers repeat while all known endpoints are leaving

Cause: with every upstream replaced at once, the endpoints that a list names can all be draining while those in their place are not known yet; the opening was refused.

Ruled out: dropping for as long as the drain lasts: a service that is stopped for good would leave its callers without an answer.

--- a/internal/flow/owner/admit.go
+++ b/internal/flow/owner/admit.go
@@ -75,6 +75,9 @@
 func (t *Table) ask(now time.Time, e *Arrived, out []Action) []Action {
 	w := walkOf(e)
 	key := e.Packet.Key
+	if t.leaving.draining && !w.goesOn() && now.Before(t.leaving.refuseAfter) {
+		return t.drop(Draining, out)
+	}
 	if t.leaving.draining {
 		return t.handOn(w, key, Draining, out)
 	}
--- a/internal/flow/owner/leave.go
+++ b/internal/flow/owner/leave.go
@@ -12,10 +12,16 @@
 	draining bool
 	emptied  bool
 	deadline time.Time
+	// refuseAfter is when all nodes know who has come in this endpoint's place:
+	// until then an opening that nobody else takes is dropped, to be repeated.
+	refuseAfter time.Time
 }
 
 // drain starts a graceful stop, or moves its deadline.
 func (t *Table) drain(now, deadline time.Time, out []Action) []Action {
+	if !t.leaving.draining {
+		t.leaving.refuseAfter = now.Add(t.orphans.grace)
+	}
 	t.leaving.draining = true
 	t.leaving.deadline = deadline
 	t.gate.Drain(now, deadline)
