bench: compare with plain hashing

Change: cwlab broken also plays the same planned changes with plain rendezvous hashing and no hand-over.

--- a/internal/bench/broken/broken.go
+++ b/internal/bench/broken/broken.go
@@ -24,6 +24,7 @@
 	for _, d := range deployments {
 		r.Rows = append(r.Rows, d.broken(d.name+"_planned", seeds, false)...)
 		r.Rows = append(r.Rows, d.broken(d.name+"_deaths", seeds, true)...)
+		r.Rows = append(r.Rows, d.plain(seeds))
 	}
 	return r, nil
 }
@@ -74,6 +75,22 @@
 	}
 }
 
+// plain counts the flows that the same planned changes break with plain rendezvous
+// hashing: each packet goes to the first endpoint of its balancer's view, and there
+// is no hand-over.
+func (d deployment) plain(seeds int) report.Row {
+	var broken []float64
+	for seed := range uint64(seeds) {
+		t := d.startWith(seed+1, true)
+		t.load(d, int(busyFor/requestEvery))
+		t.After(time.Second, t.change)
+		t.Run(busyFor)
+		t.settle()
+		broken = append(broken, float64(t.judge().planned))
+	}
+	return report.Summarize(d.name+"_plain_hash_flows_broken_by_planned_change", "count", report.Info, 0, broken)
+}
+
 // change replaces a balancer, or an upstream of either service, by plan.
 func (t *traffic) change() {
 	if t.stopped {
--- a/internal/bench/broken/traffic.go
+++ b/internal/bench/broken/traffic.go
@@ -71,6 +71,11 @@
 }
 
 func (d deployment) start(seed uint64) *traffic {
+	return d.startWith(seed, false)
+}
+
+// startWith starts plain hashing, without hand-overs, if alone.
+func (d deployment) startWith(seed uint64, alone bool) *traffic {
 	var services []fleet.Service
 	for i, name := range []string{"first", "second"} {
 		services = append(services, fleet.Service{
@@ -98,6 +103,7 @@
 			Lag:       lag,
 			Lease:     lease,
 			Keep:      keep,
+			Alone:     alone,
 		}),
 		killed: map[*agent.Agent]bool{},
 	}
--- a/internal/fake/agent/act.go
+++ b/internal/fake/agent/act.go
@@ -22,7 +22,7 @@
 // extend adds the endpoints that this process knows and the list lacks. It knows
 // those of its own service alone.
 func (a *Agent) extend(m *Message) {
-	if m.Service != a.Endpoint.Service {
+	if a.Alone || m.Service != a.Endpoint.Service {
 		return
 	}
 	var missing []node.Endpoint
--- a/internal/fake/agent/agent.go
+++ b/internal/fake/agent/agent.go
@@ -74,6 +74,8 @@
 	// View is what it knows of the endpoints of its service.
 	View map[netip.AddrPort]node.Endpoint
 	Dead bool
+	// Alone keeps it from adding endpoints to a list.
+	Alone bool
 
 	outside Outside
 	random  *rand.Rand
--- a/internal/fake/fleet/balancer.go
+++ b/internal/fake/fleet/balancer.go
@@ -133,6 +133,9 @@
 	}
 	b.fleet.Record.Arrived++
 	b.peers.SilentLast(d.Order, func(i int) netip.AddrPort { return d.Endpoints[i].Agent })
+	if b.fleet.Settings.Alone {
+		d.Order = d.Order[:1]
+	}
 	m := agent.Message{
 		Segment:  g,
 		Service:  d.Service,
--- a/internal/fake/fleet/change.go
+++ b/internal/fake/fleet/change.go
@@ -54,6 +54,7 @@
 	}
 	g := admit.New(s.Limits, admit.WithPolicy(s.Policy))
 	a := agent.New(e, g, s.Upstream, f, f.Random, f.Settings.Table...)
+	a.Alone = f.Settings.Alone
 	f.Agents = append(f.Agents, a)
 	f.agents[at] = a
 	return a
--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -44,6 +44,9 @@
 	Lag   time.Duration
 	Lease time.Duration
 	Keep  time.Duration
+	// Alone lists only the first endpoint for each packet: plain hashing, for
+	// comparison.
+	Alone bool
 	// Table are options for every flow table.
 	Table []owner.Option
 }
