--- a/cmd/cwlab/table.go
+++ b/cmd/cwlab/table.go
@@ -4,6 +4,7 @@
 	"github.com/clementinewing/clementinewing/internal/bench/broken"
 	"github.com/clementinewing/clementinewing/internal/bench/fleet"
 	"github.com/clementinewing/clementinewing/internal/bench/load"
+	"github.com/clementinewing/clementinewing/internal/bench/path"
 	"github.com/clementinewing/clementinewing/internal/bench/report"
 )
 
@@ -14,6 +15,8 @@
 	Name  string
 	Usage string
 	Run   func(seeds int) (report.Result, error)
+	// Plot draws the result into a file; nil if the experiment has no picture.
+	Plot func(r report.Result, path string) error
 }
 
 // experiments is the table of every experiment; each has a package of its own
@@ -24,6 +27,7 @@
 			Name:  "balance",
 			Usage: "spread of work over the upstreams, against other policies and a central queue",
 			Run:   load.Run,
+			Plot:  load.Plot,
 		},
 		{
 			Name:  "spread",
@@ -45,5 +49,10 @@
 			Usage: "hand-overs a packet, memory and time a flow",
 			Run:   broken.Hops,
 		},
+		{
+			Name:  "path",
+			Usage: "the balancer's packet path: decision, throughput against a bare relay, memory",
+			Run:   path.Run,
+		},
 	}
 }
--- a/internal/demo/play/play.go
+++ b/internal/demo/play/play.go
@@ -20,6 +20,8 @@
 
 const (
 	callersPerService = 2
+	feedLeast         = 4 * time.Second
+	feedMost          = 20 * time.Second
 	viewTimeout       = 15 * time.Second
 	sampleInterval    = 10 * time.Millisecond
 	unplugDelay       = 500 * time.Millisecond
@@ -147,7 +149,11 @@
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
 	p.did(fmt.Sprintf("%s: %d balancers and %d upstreams started", d.Name, d.Balancers, endpoints), nil)
-	return h.stage.AwaitView(ctx, endpoints)
+	err = h.stage.AwaitView(ctx, endpoints)
+	if err != nil {
+		return err
+	}
+	return h.stage.Apply(ctx, "")
 }
 
 func (h *house) addCallers(sc *score.Score, spec stage.Service) (err error) {
@@ -158,6 +164,9 @@
 		Once:   spec.Contract == pact.Once,
 		Died:   h.stage.Died,
 		Score:  sc,
+
+		FeedLeast: feedLeast,
+		FeedMost:  feedMost,
 	}
 	for range callersPerService {
 		address := netip.AddrFrom4([4]byte{10, 1, byte(len(h.services)), byte(len(h.callers) + 1)})
--- a/internal/role/front/state.go
+++ b/internal/role/front/state.go
@@ -2,15 +2,21 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
+	"github.com/clementinewing/clementinewing/internal/board/adopt"
+	"github.com/clementinewing/clementinewing/internal/board/head"
 	"github.com/clementinewing/clementinewing/internal/edge/meter"
 	"github.com/clementinewing/clementinewing/internal/world/node"
 )
 
 // Sample gives the counters for metrics.
 func (f *Front) Sample() meter.Sample {
-	return meter.Sample{
+	counts := f.entry.Counts()
+	sample := meter.Sample{
 		Levels: []meter.Level{
 			{
 				Name:  "endpoints",
@@ -20,22 +26,46 @@
 				Name:  "balancers",
 				Value: float64(len(f.member.Balancers())),
 			},
+			{
+				Name:  "silent_side_processes",
+				Value: float64(counts.Links.Silent),
+			},
 		},
 	}
+	counts.Each(func(name string, value uint64) {
+		sample.Totals = append(sample.Totals, meter.Total{
+			Name:   "packets",
+			Reason: name,
+			Value:  value,
+		})
+	})
+	return sample
 }
 
 // State gives what `show` prints.
 func (f *Front) State() meter.State {
 	f.mutex.Lock()
-	file, endpoints := f.file, f.endpoints
+	endpoints := f.endpoints
 	f.mutex.Unlock()
 	s := meter.State{
-		Role:     "balancer",
-		Name:     f.settings.Name,
-		Place:    f.settings.Place.String(),
-		Now:      time.Now(),
-		Started:  f.started,
-		FileName: file.Name,
+		Role:    "balancer",
+		Name:    f.settings.Name,
+		Place:   f.settings.Place.String(),
+		Now:     time.Now(),
+		Started: f.started,
+		Reasons: f.refusals.reasons(),
+	}
+	counts := f.entry.Counts()
+	counts.Each(func(name string, value uint64) {
+		s.Reasons = append(s.Reasons, meter.Reason{
+			Name:  name,
+			Count: value,
+		})
+	})
+	if h := f.follower.Held(); h != nil {
+		s.Revision = h.Revision()
+		s.FileName = h.File.Name
+		s.FileSource = h.Record.Proposal.Operator
 	}
 	for _, e := range endpoints {
 		s.Endpoints = append(s.Endpoints, f.endpoint(e))
@@ -51,6 +81,7 @@
 
 func (f *Front) endpoint(e node.Endpoint) meter.Endpoint {
 	return meter.Endpoint{
+		Suspected:   f.suspicion(e),
 		Service:     f.serviceName(e),
 		Upstream:    e.Upstream,
 		Agent:       e.Agent.String(),
@@ -62,13 +93,51 @@
 	}
 }
 
-func (f *Front) serviceName(e node.Endpoint) string {
+// suspicion tells why an endpoint is tried last, if it is.
+func (f *Front) suspicion(e node.Endpoint) string {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	for i := range f.file.Services {
-		if f.file.Services[i].Pact.ID == e.Service {
-			return f.file.Services[i].Pact.Name
+	if f.silent[e.Agent] {
+		return "answers no probes"
+	}
+	return ""
+}
+
+func (f *Front) serviceName(e node.Endpoint) string {
+	services := f.File().Services
+	for i := range services {
+		if services[i].Pact.ID == e.Service {
+			return services[i].Pact.Name
 		}
 	}
 	return fmt.Sprintf("unknown %016x", uint64(e.Service))
 }
+
+// refusals counts the revisions that were not put in force.
+type refusals struct {
+	mutex  sync.Mutex
+	counts map[head.Reason]meter.Reason
+}
+
+func (r *refusals) add(a adopt.Refuse) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.counts == nil {
+		r.counts = map[head.Reason]meter.Reason{}
+	}
+	c := r.counts[a.Reason]
+	r.counts[a.Reason] = meter.Reason{
+		Name:  "revision_" + string(a.Reason),
+		Count: c.Count + 1,
+		Last:  time.Now(),
+	}
+}
+
+func (r *refusals) reasons() (out []meter.Reason) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, reason := range slices.Sorted(maps.Keys(r.counts)) {
+		out = append(out, r.counts[reason])
+	}
+	return out
+}
