--- a/internal/fake/fleet/balancer.go
+++ b/internal/fake/fleet/balancer.go
@@ -30,6 +30,7 @@
 	steer    *steer.Steerer
 	peers    *probe.Peers
 	view     view
+	silent   []netip.AddrPort
 	decision steer.Decision
 }
 
@@ -63,7 +64,9 @@
 
 // renew puts the view in use.
 func (b *Balancer) renew() {
-	var s steer.Snapshot
+	s := steer.Snapshot{
+		Silent: b.silent,
+	}
 	for i, service := range b.fleet.Settings.Services {
 		s.Services = append(s.Services, steer.Service{
 			ID:        b.fleet.ServiceID(i),
@@ -91,9 +94,24 @@
 		return
 	}
 	b.probe(probe.Tick{})
+	if silent := b.silentPeers(); !slices.Equal(silent, b.silent) {
+		b.silent = silent
+		b.renew()
+	}
 	b.fleet.After(tickEvery, b.tick)
 }
 
+// silentPeers lists the side processes that do not answer, by address.
+func (b *Balancer) silentPeers() (out []netip.AddrPort) {
+	for at := range b.view {
+		if b.peers.Silent(at) {
+			out = append(out, at)
+		}
+	}
+	slices.SortFunc(out, netip.AddrPort.Compare)
+	return out
+}
+
 func (b *Balancer) probe(e probe.Event) {
 	for _, action := range b.peers.Step(b.fleet.Now(), e, nil) {
 		switch action := action.(type) {
@@ -132,7 +150,6 @@
 		return
 	}
 	b.fleet.Record.Arrived++
-	b.peers.SilentLast(d.Order, func(i int) netip.AddrPort { return d.Endpoints[i].Agent })
 	if b.fleet.Settings.Alone {
 		d.Order = d.Order[:1]
 	}
--- a/internal/flow/probe/probe.go
+++ b/internal/flow/probe/probe.go
@@ -10,7 +10,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 )
 
@@ -260,18 +259,3 @@
 	p.order = p.order[:len(p.order)-1]
 	delete(p.peers, q.address)
 }
-
-// SilentLast moves the silent ones of the candidates that order names to its end,
-// and keeps the order otherwise.
-func (p *Peers) SilentLast(order []int, address func(index int) netip.AddrPort) {
-	slices.SortStableFunc(order, func(a, b int) int {
-		return weigh(p.Silent(address(a))) - weigh(p.Silent(address(b)))
-	})
-}
-
-func weigh(silent bool) int {
-	if silent {
-		return 1
-	}
-	return 0
-}
