--- a/cmd/clementinewing/agent.go
+++ b/cmd/clementinewing/agent.go
@@ -38,7 +38,17 @@
 		return err
 	}
 	logger := newLogger(settings.Common, "agent")
-	s, err := side.New(settings, side.WithLogger(logger), side.WithCredentials(server, client))
+	platform, closeStore, err := settingsStore(settings.Common, client)
+	if err != nil {
+		return err
+	}
+	defer closeStore()
+	s, err := side.New(
+		settings,
+		side.WithLogger(logger),
+		side.WithCredentials(server, client),
+		side.WithStore(platform),
+	)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/edge/greet/greet_test.go
@@ -0,0 +1,79 @@
+package greet_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/clementinewing/clementinewing/internal/edge/greet"
+	"github.com/clementinewing/clementinewing/internal/fake/store"
+	"github.com/clementinewing/clementinewing/internal/world/node"
+)
+
+func TestGreet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "greet")
+}
+
+func alone() []node.Endpoint { return nil }
+
+func start(g *greet.Greeter, contacts func([]netip.AddrPort)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.Run(ctx, alone, contacts)
+	}()
+	DeferCleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+var _ = Describe("Greeter", func() {
+	It("brings a side process without contacts to a balancer", func() {
+		s := store.New()
+		control := netip.MustParseAddrPort("10.0.0.1:7202")
+		start(greet.NewBalancer(s, 1, nil, control), func([]netip.AddrPort) {})
+		Eventually(func() []byte { return s.Memory.Get(greet.Key).Value }).WithTimeout(time.Minute).ShouldNot(BeEmpty())
+		found := make(chan []netip.AddrPort, 100)
+		start(greet.NewAgent(s, 2, nil), func(a []netip.AddrPort) { found <- a })
+		Eventually(found).WithTimeout(time.Minute).Should(Receive(ConsistOf(control)))
+	})
+
+	It("replaces a malformed directory", func() {
+		s := store.New()
+		s.Memory.Swap(greet.Key, 0, []byte("{"))
+		start(greet.NewBalancer(s, 1, nil, netip.MustParseAddrPort("10.0.0.1:7202")), func([]netip.AddrPort) {})
+		Eventually(func() string { return string(s.Memory.Get(greet.Key).Value) }).WithTimeout(time.Minute).Should(ContainSubstring("10.0.0.1:7202"))
+	})
+
+	It("leaves the store alone while a balancer holds the lease", func() {
+		s := store.New()
+		asked := make(chan struct{}, 100)
+		home := []node.Endpoint{
+			{
+				Agent: netip.MustParseAddrPort("10.0.0.1:7202"),
+			},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			greet.NewAgent(s, 1, nil).Run(ctx, func() []node.Endpoint {
+				asked <- struct{}{}
+				return home
+			}, func([]netip.AddrPort) {})
+		}()
+		for range 3 {
+			Eventually(asked).WithTimeout(time.Minute).Should(Receive())
+		}
+		cancel()
+		<-done
+		Expect(s.Memory.Counts()).To(BeZero())
+	})
+})
--- a/internal/role/front/front.go
+++ b/internal/role/front/front.go
@@ -19,6 +19,7 @@
 	"github.com/clementinewing/clementinewing/internal/board/file"
 	"github.com/clementinewing/clementinewing/internal/conf/roles"
 	"github.com/clementinewing/clementinewing/internal/edge/follow"
+	"github.com/clementinewing/clementinewing/internal/edge/greet"
 	"github.com/clementinewing/clementinewing/internal/edge/keys"
 	"github.com/clementinewing/clementinewing/internal/edge/peer"
 	"github.com/clementinewing/clementinewing/internal/edge/store"
@@ -47,6 +48,7 @@
 	member      *peer.Member
 	store       store.Store
 	follower    *follow.Follower
+	greeter     *greet.Greeter
 	refusals    refusals
 	started     time.Time
 
@@ -119,6 +121,7 @@
 		return nil, err
 	}
 	f.follower.SetPeers(f.member)
+	f.greeter = greet.NewBalancer(f.store, uint64(f.incarnation), settings.Contacts, f.Control(), greet.WithLogger(f.logger))
 	return f, nil
 }
 
@@ -253,6 +256,7 @@
 	run(func(ctx context.Context) error { return f.member.Run(ctx, f.listener) })
 	w.Go(func() { f.follower.Run(ctx) })
 	w.Go(func() { f.tellMembers(ctx) })
+	w.Go(func() { f.greeter.Run(ctx, f.member.Balancers, f.member.SetSeeds) })
 	f.logger.Info().Stringer("fabric", f.Fabric()).Stringer("control", f.Control()).Msg("serving")
 	select {
 	case <-stop.Done():
--- a/internal/role/side/side.go
+++ b/internal/role/side/side.go
@@ -15,8 +15,10 @@
 	"google.golang.org/grpc/credentials"
 
 	"github.com/clementinewing/clementinewing/internal/conf/roles"
+	"github.com/clementinewing/clementinewing/internal/edge/greet"
 	"github.com/clementinewing/clementinewing/internal/edge/keys"
 	"github.com/clementinewing/clementinewing/internal/edge/peer"
+	"github.com/clementinewing/clementinewing/internal/edge/store"
 	"github.com/clementinewing/clementinewing/internal/flow/admit"
 	"github.com/clementinewing/clementinewing/internal/flow/limit"
 	"github.com/clementinewing/clementinewing/internal/flow/owner"
@@ -37,6 +39,8 @@
 	client      credentials.TransportCredentials
 	agent       *agent.Agent
 	announcer   *peer.Announcer
+	store       store.Store
+	greeter     *greet.Greeter
 	started     time.Time
 	state       atomic.Uint32
 	mutex       sync.Mutex
@@ -61,6 +65,13 @@
 	}
 }
 
+// WithStore sets the platform's store, for the directory of first contacts.
+func WithStore(p store.Store) Option {
+	return func(s *Side) {
+		s.store = p
+	}
+}
+
 // New opens a side process.
 func New(settings roles.Agent, options ...Option) (s *Side, err error) {
 	defer func() { err = eris.Wrap(err, "opening the side process") }()
@@ -91,6 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.greeter = greet.NewAgent(s.store, uint64(s.incarnation), settings.Contacts, greet.WithLogger(s.logger))
 	return s, nil
 }
 
@@ -140,6 +152,7 @@
 	calls, stopCalls := context.WithCancel(context.Background())
 	w.Go(func() { s.agent.Run(packets) })
 	w.Go(func() { s.announcer.Run(calls) })
+	w.Go(func() { s.greeter.Run(calls, s.homes, s.announcer.SetSeeds) })
 	s.announce(node.Serving)
 	s.logger.Info().Str("service", s.settings.Service).Stringer("tunnel", s.Address()).Msg("serving")
 	select {
@@ -169,6 +182,18 @@
 	s.announcer.Leave(ctx)
 }
 
+// homes are the balancers that hold this process's leases: while there is one,
+// first contacts need not be looked for.
+func (s *Side) homes() (out []node.Endpoint) {
+	for _, h := range s.announcer.Holders() {
+		out = append(out, node.Endpoint{
+			Agent: h,
+			State: node.Serving,
+		})
+	}
+	return out
+}
+
 func (s *Side) announce(state node.State) {
 	s.state.Store(uint32(state))
 	s.announcer.Update(node.Endpoint{
