--- a/internal/bench/path/hold.go
+++ b/internal/bench/path/hold.go
@@ -46,7 +46,7 @@
 	var w sync.WaitGroup
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	w.Go(func() { sink(agent) })
+	w.Go(func() { sink(agent, ring) })
 	w.Go(func() { ended <- e.Run(ctx) })
 	err = hint(random, e, agent, wire.NewSealer(ring), snapshot.Services[0].Endpoints[0].Incarnation)
 	if err == nil {
--- a/internal/bench/path/path.go
+++ b/internal/bench/path/path.go
@@ -1,7 +1,8 @@
 // Package path measures the packet path of a balancer on real sockets of the
 // loopback device: what a decision costs, how many packets a second pass against
 // a bare relay, and what the flows of a balancer take in memory. Its figures are
-// times of the wall clock, so they belong to the machine that they come from.
+// times of real clocks, so they belong to the machine that they come from and to
+// what else it runs.
 package path
 
 import (
--- a/internal/flow/steer/table.go
+++ b/internal/flow/steer/table.go
@@ -13,6 +13,8 @@
 	// spare is the room kept for each entry that is asked for, so that buckets
 	// seldom overflow.
 	spare = 2
+	// renewShare is how many times in its keeping an entry is marked as used.
+	renewShare = 8
 )
 
 // The parts of an entry, from the top: a tag of the key, a value, and the time
@@ -39,6 +41,9 @@
 	tick    time.Duration
 	// keep is the number of ticks after which an unused entry is no longer read.
 	keep uint16
+	// renew is the number of ticks after which touch marks an entry again: often
+	// enough for eviction, seldom enough that most reads write nothing.
+	renew uint16
 }
 
 // shard is the lock on every bucket of one number modulo shardCount.
@@ -61,6 +66,7 @@
 		mask:    uint64(perShard*shardCount - 1),
 		tick:    tick,
 		keep:    uint16(keep / tick),
+		renew:   uint16(keep / tick / renewShare),
 	}
 }
 
@@ -81,7 +87,8 @@
 	t.buckets[key&t.mask].load(0)
 }
 
-// touch reads the value of a key and marks it as used now.
+// touch reads the value of a key and marks it as used, if that was not done
+// lately.
 func (t *table) touch(now time.Time, key uint64) (value uint32, found bool) {
 	s, b, tag := t.locate(key)
 	at := t.at(now)
@@ -94,7 +101,7 @@
 		return 0, false
 	}
 	value = valueOf(e)
-	if used(e) != at {
+	if at-used(e) >= t.renew {
 		s.replace(b, i, e, pack(tag, value, at))
 	}
 	return value, true
