--- a/internal/edge/keys/keys_test.go
+++ b/internal/edge/keys/keys_test.go
@@ -62,6 +62,7 @@
 
 func FuzzParse(f *testing.F) {
 	f.Add("1 = " + material + "\nseal = 1")
+	f.Add("; comment\n255=" + material + "=\n0 = " + material + "\nseal = 256\nseal")
 	f.Fuzz(func(t *testing.T, text string) {
 		s, err := keys.Parse("f", text)
 		if (s == nil) == (err == nil) {
--- a/internal/edge/wire/fuzz_test.go
+++ b/internal/edge/wire/fuzz_test.go
@@ -14,7 +14,10 @@
 	ring := keys.NewRing(oneEpoch(1))
 	genuine := wire.NewSealer(ring, wire.WithSender(testSender)).Seal(nil, example())
 	f.Add(genuine)
-	f.Add([]byte{1, 1, 1})
+	for _, n := range []int{0, 1, wire.HeaderBytes, wire.HeaderBytes + wire.TagBytes, len(genuine) - 1} {
+		f.Add(genuine[:n])
+	}
+	f.Add(append(genuine[:len(genuine):len(genuine)], 0))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var m wire.Message
 		err := wire.NewOpener(ring).Open(b, &m)
--- a/internal/edge/wire/wire_test.go
+++ b/internal/edge/wire/wire_test.go
@@ -6,6 +6,8 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -111,6 +113,31 @@
 		Expect(wire.NewOpener(ring, wire.WithSenders(senders)).Open(datagram, &m)).To(MatchError(wire.ErrReplayed))
 	})
 
+	It("takes a datagram once that arrives at several Openers at the same time", func() {
+		ring := keys.NewRing(oneEpoch(1))
+		sealer := wire.NewSealer(ring)
+		var sealed [][]byte
+		for range 1000 {
+			sealed = append(sealed, sealer.Seal(nil, example()))
+		}
+		senders := wire.NewSenders(0)
+		var taken atomic.Int64
+		var w sync.WaitGroup
+		for range 4 {
+			w.Go(func() {
+				opener := wire.NewOpener(ring, wire.WithSenders(senders))
+				var m wire.Message
+				for _, datagram := range sealed {
+					if opener.Open(datagram, &m) == nil {
+						taken.Add(1)
+					}
+				}
+			})
+		}
+		w.Wait()
+		Expect(taken.Load()).To(Equal(int64(len(sealed))))
+	})
+
 	It("refuses no datagram while keys are rotated", func() {
 		sealing := keys.NewRing(oneEpoch(1))
 		opening := keys.NewRing(oneEpoch(1))
--- a/internal/world/link/packet_test.go
+++ b/internal/world/link/packet_test.go
@@ -44,7 +44,16 @@
 })
 
 func FuzzParse(f *testing.F) {
-	f.Add([]byte{0x45})
+	script, err := os.ReadFile("testdata/packets.txt")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for line := range strings.Lines(string(script)) {
+		raw, err := hex.DecodeString(strings.Fields(line)[2])
+		if err == nil {
+			f.Add(raw)
+		}
+	}
 	f.Fuzz(func(t *testing.T, b []byte) {
 		p, err := link.Parse(b)
 		k, keyErr := link.ParseKey(b)
