--- a/internal/bench/load/upstream.go
+++ b/internal/bench/load/upstream.go
@@ -29,9 +29,10 @@
 	reportedFlows int
 }
 
-// free tells whether the upstream would serve more work at once.
+// free tells whether the upstream has room for a flow whose work it would serve
+// at once.
 func (u *upstream) free() bool {
-	return u.serving() && u.inHand < u.capacity()
+	return u.serving() && u.inHand < u.capacity() && u.flows < u.world.shape.Connections
 }
 
 func (u *upstream) serving() bool {
@@ -93,6 +94,11 @@
 	switch u.fault {
 	case Slow:
 		return time.Duration(slowBy * float64(span))
+	case Slows:
+		if u.world.clock.Now().Before(u.world.meter.from) {
+			return span
+		}
+		return time.Duration(slowBy * float64(span))
 	case Cold:
 		left := 1 - float64(u.world.clock.Now().Sub(u.joined))/float64(coldFor)
 		return time.Duration((1 + (coldBy-1)*max(0, left)) * float64(span))
--- a/internal/board/file/file.go
+++ b/internal/board/file/file.go
@@ -20,8 +20,6 @@
 const (
 	// MaxBytes bounds the text of one file, in bytes.
 	MaxBytes = 32 << 20
-	// MaxNameBytes bounds a name, in bytes.
-	MaxNameBytes = 63
 	// MaxUpstreams bounds the names that one service may list.
 	MaxUpstreams = 4096
 	// MaxWeight is the largest weight of an upstream.
@@ -62,8 +60,8 @@
 
 // Operator may apply files.
 type Operator struct {
-	Name string
-	Key  ed25519.PublicKey
+	Name string            `json:"name"`
+	Key  ed25519.PublicKey `json:"key"`
 }
 
 // Service is one service with what the file sets for it.
--- a/internal/edge/peer/encode.go
+++ b/internal/edge/peer/encode.go
@@ -86,9 +86,10 @@
 
 func writeExchange(in member.Exchange) *ExchangeRequest {
 	return &ExchangeRequest{
-		From:   writeAddress(in.From),
-		Body:   writeMessage(in.Message),
-		Doubts: writeKeys(in.Doubts),
+		From:        writeAddress(in.From),
+		Incarnation: uint64(in.Incarnation),
+		Body:        writeMessage(in.Message),
+		Doubts:      writeKeys(in.Doubts),
 	}
 }
 
@@ -100,14 +101,16 @@
 }
 
 func writeMessage(in spread.Message) *ExchangeBody {
-	if in.Empty() {
+	if in.Empty() && !in.Settled {
 		return nil
 	}
 	out := &ExchangeBody{
 		Root:    in.Root,
 		Compare: in.Compare,
+		Settled: in.Settled,
 		Records: writeRecords(in.Records),
-		Wanted:  writeKeys(in.Wanted),
+		Leaves:  writeLeaves(in.Leaves),
+		Wanted:  writeLeaves(in.Wanted),
 	}
 	for _, s := range in.Splits {
 		out.Splits = append(out.Splits, &RangeSplit{
@@ -116,21 +119,15 @@
 			Hashes: s.Hashes,
 		})
 	}
-	for _, l := range in.Leaves {
-		out.Leaves = append(out.Leaves, writeLeaf(l))
-	}
 	return out
 }
 
-func writeLeaf(in spread.Leaf) *RangeLeaf {
-	out := &RangeLeaf{
-		Level: uint32(in.Level),
-		Index: uint32(in.Index),
-	}
-	for _, e := range in.Entries {
-		out.Entries = append(out.Entries, &RangeEntry{
-			Key:     writeKey(e.Key),
-			Version: writeVersion(e.Version),
+func writeLeaves(in []spread.Leaf) (out []*RangeLeaf) {
+	for _, l := range in {
+		out = append(out, &RangeLeaf{
+			Level:   uint32(l.Level),
+			Index:   uint32(l.Index),
+			Digests: l.Digests,
 		})
 	}
 	return out
--- a/internal/fleet/spread/spread.go
+++ b/internal/fleet/spread/spread.go
@@ -17,10 +17,15 @@
 	PushInterval = 200 * time.Millisecond
 	// RetryInterval is the time before an unanswered push is sent again.
 	RetryInterval = 400 * time.Millisecond
+	// SettleLife bounds how long a newcomer waits for a settled peer.
+	SettleLife = 10 * time.Second
 	// Fanout is to how many peers a learned change is pushed on.
 	Fanout = 4
 	// maxTries is how often a push is sent to a peer that does not answer.
 	maxTries = 4
+	// maxComparisonTries is how often a part of a comparison is sent before the
+	// next peer is turned to. A newcomer turns to the next at once.
+	maxComparisonTries = 2
 	// lostTurn is at every how many comparisons one goes to a lost balancer.
 	lostTurn = 4
 	// maxRounds bounds the messages of one comparison.
@@ -41,6 +46,9 @@
 	// listed is the table's list of balancers that peers were chosen from.
 	listed []node.Endpoint
 	ready  []netip.AddrPort
+	// compared tells that a comparison with a settled peer has ended.
+	compared bool
+	started  time.Time
 }
 
 // link is what is under way to one peer.
@@ -49,8 +57,14 @@
 	sent    []lease.Key
 	busy    bool
 	rounds  int
-	tries   int
-	at      time.Time
+	// compares tells that a comparison is under way, cut that an answer to it was
+	// cut short.
+	compares bool
+	cut      bool
+	tries    int
+	// unanswered is the part of a comparison that is sent again after a failure.
+	unanswered Message
+	at         time.Time
 }
 
 // Event is one of Tick, Seeds, Changed, Requested, Replied and Failed.
@@ -138,6 +152,12 @@
 	return s.targets()
 }
 
+// Settled tells whether the table was once brought in step with that of a settled
+// peer, or there is no peer, or SettleLife has passed.
+func (s *Spread) Settled(now time.Time) bool {
+	return s.compared || len(s.Peers()) == 0 || !s.started.IsZero() && now.After(s.started.Add(SettleLife))
+}
+
 // Step takes one event and tells what is to be done.
 func (s *Spread) Step(now time.Time, event Event) []Action {
 	switch e := event.(type) {
@@ -163,19 +183,23 @@
 }
 
 func (s *Spread) tick(now time.Time) []Action {
+	if s.started.IsZero() {
+		s.started = now
+	}
 	s.table.Forget(now)
 	s.choose()
 	out := s.compare(now)
 	slices.SortFunc(s.ready, netip.AddrPort.Compare)
+	s.ready = slices.Compact(s.ready)
 	waiting := s.ready[:0]
 	for _, to := range s.ready {
 		l := s.links[to]
-		if l == nil || len(l.pending) == 0 {
+		if l == nil || len(l.pending) == 0 && l.unanswered.Empty() {
 			continue
 		}
 		waiting = append(waiting, to)
 		if !l.busy && !now.Before(l.at) {
-			out = append(out, s.push(now, to, l, Message{}))
+			out = append(out, s.push(now, to, l, l.unanswered))
 		}
 	}
 	s.ready = waiting
@@ -199,10 +223,11 @@
 		to = s.stray(to)
 	}
 	l := s.link(to)
-	if l.busy {
+	if l.busy || !l.unanswered.Empty() {
 		return nil
 	}
 	l.rounds = 0
+	l.compares = true
 	return []Action{s.push(now, to, l, s.table.Opening())}
 }
 
@@ -227,6 +252,7 @@
 func (s *Spread) requested(now time.Time, e Requested) []Action {
 	s.known(e.From, e.Message)
 	reply, news := s.table.Respond(now, e.Message)
+	reply.Settled = s.Settled(now)
 	out := s.learn(e.From, news)
 	return append(out, Answer{
 		Request: e.Request,
@@ -242,17 +268,34 @@
 	l.busy = false
 	l.tries = 0
 	l.sent = nil
+	l.unanswered = Message{}
 	l.at = now.Add(PushInterval)
 	s.known(e.From, e.Message)
 	next, news := s.table.Respond(now, e.Message)
 	out := s.learn(e.From, news)
 	l.rounds++
+	l.cut = l.cut || len(e.Message.Records) >= maxRecords
 	if next.Empty() || l.rounds > maxRounds {
+		s.ended(now, l, e.Message.Settled)
 		return out
 	}
 	return append(out, s.push(now, e.From, l, next))
 }
 
+// ended closes a comparison. One whose answer was cut short is followed by the
+// next at once; one with another newcomer proves nothing.
+func (s *Spread) ended(now time.Time, l *link, settled bool) {
+	switch {
+	case !l.compares:
+	case l.cut:
+		s.next = now
+	case settled:
+		s.compared = true
+	}
+	l.compares = false
+	l.cut = false
+}
+
 // learn passes news on and queues them for other peers.
 func (s *Spread) learn(from netip.AddrPort, news []lease.Record) []Action {
 	out := make([]Action, 0, len(news)+1)
@@ -290,15 +333,23 @@
 	l.busy = false
 	l.tries++
 	l.at = now.Add(RetryInterval)
+	sent := l.sent
+	l.sent = nil
+	if !l.unanswered.Empty() && (l.tries >= maxComparisonTries || !s.compared) {
+		l.unanswered = Message{}
+		l.compares = false
+		l.cut = false
+		s.next = now
+	}
 	if l.tries >= maxTries {
 		l.pending = nil
-		l.sent = nil
+		l.tries = 0
 		return
 	}
-	for _, key := range l.sent {
+	s.ready = append(s.ready, to)
+	for _, key := range sent {
 		s.queue([]netip.AddrPort{to}, key)
 	}
-	l.sent = nil
 }
 
 // push sends what is queued for a peer, with m if there is more to say.
@@ -314,6 +365,7 @@
 	}
 	l.busy = true
 	l.at = now.Add(PushInterval)
+	l.unanswered = m.comparison()
 	return Send{
 		To:      to,
 		Message: m,
--- a/internal/flow/admit/gate.go
+++ b/internal/flow/admit/gate.go
@@ -162,15 +162,25 @@
 	if !a.Held {
 		used += len(g.line)
 	}
-	if used >= g.Slots(now) {
+	slots := g.Slots(now)
+	if a.settled() {
+		slots = g.hard(now)
+	}
+	if used >= slots {
 		return g.fullReason(now, used)
 	}
-	if !a.Held && !a.Last && a.Pass == 0 && g.policy.HandsOn(used, g.Slots(now), a.Position) {
+	if !a.settled() && g.policy.HandsOn(used, slots, a.Position) {
 		return Threshold
 	}
 	return Accepted
 }
 
+// settled tells that every other candidate has refused the opening, so that
+// only this endpoint's hard limits count.
+func (a Ask) settled() bool {
+	return a.Held || a.Last || a.Pass > 0 || a.Candidates <= 1
+}
+
 // settle turns the reason into what becomes of the opening.
 func (g *Gate) settle(now time.Time, a Ask, reason Reason) Answer {
 	switch {
@@ -182,7 +192,12 @@
 		}
 	case reason == DeadlinePassed:
 		return refusal(reason)
-	case a.hunts() && g.budget.Spend():
+	case reason == Draining && a.Candidates > 1 && a.Pass < closedPasses:
+		return Answer{
+			Next:   HandOn,
+			Reason: reason,
+		}
+	case a.hunts() && g.spend(a):
 		return Answer{
 			Next:   HandOn,
 			Reason: reason,
@@ -197,7 +212,7 @@
 	if a.hunts() {
 		reason = g.spent(reason)
 	}
-	if holds(reason) && !a.Deadline.IsZero() && len(g.line) < g.policy.Waiting(g.limits.Slots) {
+	if a.holds(reason) && !a.Deadline.IsZero() && len(g.line) < g.policy.Waiting(g.limits.Slots) {
 		return Answer{
 			Next:   Hold,
 			Reason: reason,
@@ -207,9 +222,16 @@
 	return refusal(reason)
 }
 
+func (g *Gate) spend(a Ask) bool {
+	if a.Held {
+		return g.budget.SpendAgain()
+	}
+	return g.budget.Spend()
+}
+
 // spent names the empty budget as the reason where a hand-over was due.
 func (g *Gate) spent(reason Reason) Reason {
-	if reason == Draining || reason == ConnectionsFull {
+	if reason == ConnectionsFull {
 		return reason
 	}
 	return RetryBudget
@@ -219,10 +241,10 @@
 	if used >= g.limits.Slots {
 		return SlotsFull
 	}
-	if g.ramp.Slots(now, g.limits.Slots) <= g.adaptive.Slots(now) {
-		return ColdStart
+	if g.adaptive.Slots(now) < g.ramp.Slots(now, g.limits.Slots) {
+		return Shedding
 	}
-	return Shedding
+	return ColdStart
 }
 
 func (g *Gate) count(a Answer) {
@@ -237,9 +259,17 @@
 	}
 }
 
-// holds tells whether waiting can help.
-func holds(r Reason) bool {
-	return r == SlotsFull || r == ColdStart || r == Shedding || r == RetryBudget
+// holds tells whether waiting can help: a slot may come free here, or, where
+// connections are full, at another candidate.
+func (a Ask) holds(r Reason) bool {
+	switch r {
+	case SlotsFull, ColdStart, Shedding, RetryBudget:
+		return true
+	case ConnectionsFull:
+		return a.Candidates > 1 && a.Pass < closedPasses
+	default:
+		return false
+	}
 }
 
 // hunts tells whether the opening goes on if this endpoint has no room: on the
@@ -248,7 +278,7 @@
 	if a.Held {
 		return a.Candidates > 1
 	}
-	return !a.Last && a.Pass == 0
+	return !a.settled()
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/internal/flow/owner/leave.go
+++ b/internal/flow/owner/leave.go
@@ -12,10 +12,16 @@
 	draining bool
 	emptied  bool
 	deadline time.Time
+	// refuseAfter is when all nodes know who has come in this endpoint's place:
+	// until then an opening that nobody else takes is dropped, to be repeated.
+	refuseAfter time.Time
 }
 
 // drain starts a graceful stop, or moves its deadline.
 func (t *Table) drain(now, deadline time.Time, out []Action) []Action {
+	if !t.leaving.draining {
+		t.leaving.refuseAfter = now.Add(t.orphans.grace)
+	}
 	t.leaving.draining = true
 	t.leaving.deadline = deadline
 	t.gate.Drain(now, deadline)
@@ -83,9 +89,26 @@
 	return admit.Served
 }
 
+// wake makes good for the time in which the process stood still: callers have not
+// had it to complete a handshake or to send, and openings that waited for it have
+// long been repeated elsewhere.
+func (t *Table) wake(now time.Time) {
+	t.ticked = now
+	t.holdFor = now.Add(wakeHold)
+	for _, f := range t.order {
+		switch {
+		case f.state == half:
+			f.deadline = now.Add(t.handshake)
+		case f.state == open && f.isDatagram():
+			f.deadline = now.Add(t.idle)
+		}
+	}
+}
+
 // tick lets deadlines lapse. It goes backwards because a flow that is removed is
 // replaced by the last one.
 func (t *Table) tick(now time.Time, out []Action) []Action {
+	t.ticked = now
 	cut := t.leaving.draining && !now.Before(t.leaving.deadline)
 	for i := len(t.order) - 1; i >= 0; i-- {
 		if i >= len(t.order) {
--- a/internal/flow/owner/reason.go
+++ b/internal/flow/owner/reason.go
@@ -38,7 +38,7 @@
 	NotMine
 	// OtherIncarnation hands a packet on for a past life at this address.
 	OtherIncarnation
-	// OtherService drops a packet that names another service.
+	// OtherService hands a packet on that names another service.
 	OtherService
 	// Malformed drops a message whose positions make no sense.
 	Malformed
@@ -62,6 +62,8 @@
 	Cancelled
 	// IdleExpired aborts a datagram flow that carried nothing for too long.
 	IdleExpired
+	// Woken drops an opening that may have come while the process stood still.
+	Woken
 	// Stale aborts a connection to the upstream that nobody waits for.
 	Stale
 
@@ -95,6 +97,7 @@
 	DrainDeadline:    "drain_deadline",
 	Cancelled:        "cancelled",
 	IdleExpired:      "idle_expired",
+	Woken:            "woken",
 	Stale:            "stale",
 }
 
