fleet: script the machines, compare spread with a broadcast, measure

Cause: the machines had one matrix and no tests of their own, and control and detection had not been measured. Seen failing first: homes panicked on balancers with one incarnation twice. Conclusion: control is still to be run.

--- a/cmd/cwlab/table.go
+++ b/cmd/cwlab/table.go
@@ -23,5 +23,15 @@
 			Usage: "time until every balancer has a change, by size and loss",
 			Run:   fleet.Spread,
 		},
+		{
+			Name:  "control",
+			Usage: "bytes, heap and processor time of membership for one balancer",
+			Run:   fleet.Control,
+		},
+		{
+			Name:  "detect",
+			Usage: "time to stop using a dead upstream, and false suspicions",
+			Run:   fleet.Detect,
+		},
 	}
 }
--- a/internal/fleet/lease/announcer.go
+++ b/internal/fleet/lease/announcer.go
@@ -159,6 +159,9 @@
 	if !now.Before(a.next) {
 		return a.sendAll(now)
 	}
+	if !a.retryDue(now) {
+		return nil
+	}
 	var out []AnnouncerAction
 	targets := a.targets(now)
 	for _, to := range a.told(targets) {
@@ -193,6 +196,15 @@
 	return a.tell(now)
 }
 
+func (a *Announcer) retryDue(now time.Time) bool {
+	for _, s := range a.states {
+		if !s.retry.IsZero() && !now.Before(s.retry) {
+			return true
+		}
+	}
+	return false
+}
+
 // told are the targets and all homes and spares.
 func (a *Announcer) told(targets []netip.AddrPort) []netip.AddrPort {
 	out := slices.Clone(a.homes)
--- a/internal/fleet/lease/homes.go
+++ b/internal/fleet/lease/homes.go
@@ -34,7 +34,8 @@
 		return best
 	}
 	best = slices.DeleteFunc(best, func(b node.Endpoint) bool { return b.Incarnation == other[0].Incarnation })
-	return slices.Insert(best, 1, other[0])[:min(len(best)+1, count)]
+	best = slices.Insert(best, min(1, len(best)), other[0])
+	return best[:min(len(best), count)]
 }
 
 // top lists the balancers with the highest claims, without those at the place of
--- /dev/null
+++ b/internal/fleet/meet/suite_test.go
@@ -0,0 +1,13 @@
+package meet_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestMeet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "meet")
+}
--- a/internal/fleet/member/script_test.go
+++ b/internal/fleet/member/script_test.go
@@ -76,6 +76,7 @@
 
 // cell is one run of the matrix.
 type cell struct {
+	name      string
 	rig       *fleet.Rig
 	balancers map[string]*balancer
 	agents    map[string]*agent
--- a/internal/fleet/member/view.go
+++ b/internal/fleet/member/view.go
@@ -71,6 +71,11 @@
 	return out
 }
 
+// Doubts tells whether the balancer's own links speak against an endpoint.
+func (n *Node) Doubts(key lease.Key) bool {
+	return n.watch.Health(n.now, key, lease.Live) != lease.Live
+}
+
 // each visits the records of upstreams that are present or linger.
 func (n *Node) each(visit func(r lease.Record)) {
 	n.table.Each(func(r lease.Record) {
--- /dev/null
+++ b/internal/fleet/spread/mesh_test.go
@@ -0,0 +1,143 @@
+package spread_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/fake/clock"
+	"github.com/clementinewing/clementinewing/internal/fake/lossy"
+	"github.com/clementinewing/clementinewing/internal/fleet/lease"
+	"github.com/clementinewing/clementinewing/internal/fleet/spread"
+	"github.com/clementinewing/clementinewing/internal/world/node"
+	"github.com/clementinewing/clementinewing/internal/world/zone"
+)
+
+// meshSize is more than a balancer has peers.
+const meshSize = 14
+
+// mesh is a few spreads on a fake link.
+type mesh struct {
+	clock   *clock.Clock
+	net     *lossy.Net
+	members []*meshMember
+}
+
+type meshMember struct {
+	mesh    *mesh
+	name    string
+	self    lease.Record
+	table   *spread.Table
+	machine *spread.Spread
+}
+
+func newMesh(c *clock.Clock, random *rand.Rand, net *lossy.Net) *mesh {
+	n := &mesh{
+		clock: c,
+		net:   net,
+	}
+	for i := range meshSize {
+		n.add(random, i)
+	}
+	for _, m := range n.members {
+		for _, other := range n.members {
+			m.table.Merge(c.Now(), other.self)
+		}
+	}
+	return n
+}
+
+func (n *mesh) add(random *rand.Rand, i int) {
+	self := node.Endpoint{
+		Service:     lease.Balancers,
+		Agent:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7),
+		Incarnation: node.Incarnation(100 + i),
+		Place: zone.Place{
+			Region: "region",
+			Domain: string(rune('a' + i%3)),
+		},
+		State: node.Serving,
+	}
+	table := spread.NewTable()
+	m := &meshMember{
+		mesh: n,
+		name: self.Agent.String(),
+		self: lease.Record{
+			Endpoint: self,
+			Health:   lease.Live,
+		},
+		table:   table,
+		machine: spread.New(self, table, rand.New(rand.NewPCG(random.Uint64(), 0)), nil),
+	}
+	n.members = append(n.members, m)
+	n.clock.After(time.Duration(i)*time.Millisecond, m.tick)
+}
+
+func (m *meshMember) tick() {
+	m.mesh.clock.After(100*time.Millisecond, m.tick)
+	m.step(spread.Tick{})
+}
+
+func (m *meshMember) publish(r lease.Record) {
+	if m.table.Merge(m.mesh.clock.Now(), r) {
+		m.step(spread.Changed{
+			Key: r.Key(),
+		})
+	}
+}
+
+func (m *meshMember) step(e spread.Event) {
+	for _, a := range m.machine.Step(m.mesh.clock.Now(), e) {
+		if s, ok := a.(spread.Send); ok {
+			m.send(s)
+		}
+	}
+}
+
+// send carries a message and its answer, or tells of its failure.
+func (m *meshMember) send(s spread.Send) {
+	n := m.mesh
+	done := false
+	finish := func(e spread.Event) {
+		if !done {
+			done = true
+			m.step(e)
+		}
+	}
+	n.clock.After(800*time.Millisecond, func() {
+		finish(spread.Failed{
+			To: s.To,
+		})
+	})
+	to := n.members[s.To.Addr().As4()[3]]
+	n.net.Send(lossy.Way{
+		From: m.name,
+		To:   to.name,
+	}, func() {
+		answer := to.answer(m, s.Message)
+		n.net.Send(lossy.Way{
+			From: to.name,
+			To:   m.name,
+		}, func() {
+			finish(spread.Replied{
+				From:    s.To,
+				Message: answer,
+			})
+		})
+	})
+}
+
+func (m *meshMember) answer(from *meshMember, message spread.Message) (out spread.Message) {
+	for _, a := range m.machine.Step(m.mesh.clock.Now(), spread.Requested{
+		From:    from.self.Endpoint.Agent,
+		Message: message,
+	}) {
+		switch a := a.(type) {
+		case spread.Answer:
+			out = a.Message
+		case spread.Send:
+			m.send(a)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/spread/suite_test.go
@@ -0,0 +1,13 @@
+package spread_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSpread(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "spread")
+}
--- a/internal/fleet/spread/table.go
+++ b/internal/fleet/spread/table.go
@@ -17,6 +17,9 @@
 	depth = 3
 	// bucketCount is the number of buckets: fan to the power of depth.
 	bucketCount = 4096
+	// groupBuckets is how many buckets are passed over together where all are
+	// empty.
+	groupBuckets = 64
 	// bucketBits is the number of leading bits of a position that name a bucket.
 	bucketBits = 12
 )
@@ -24,8 +27,10 @@
 // Table holds the records a balancer knows, in buckets by position. It is not
 // safe for concurrent use.
 type Table struct {
-	places    places
-	buckets   [bucketCount]bucket
+	places  places
+	buckets [bucketCount]bucket
+	// groups counts the rows of each group of buckets.
+	groups    [bucketCount / groupBuckets]int
 	root      uint64
 	count     int
 	changes   uint64
@@ -89,6 +94,7 @@
 func (t *Table) add(b *bucket, r lease.Record) {
 	b.rows = append(b.rows, t.places.pack(r))
 	t.count++
+	t.groups[position(r.Key())>>(64-bucketBits)/groupBuckets]++
 	t.account(b, digest(r.Key(), r.Version()))
 	t.note(r)
 }
@@ -127,6 +133,7 @@
 	t.account(b, digest(key, b.rows[i].version()))
 	b.rows = slices.Delete(b.rows, i, i+1)
 	t.count--
+	t.groups[position(key)>>(64-bucketBits)/groupBuckets]--
 	delete(t.tombstones, key)
 	if key.Service == lease.Balancers {
 		delete(t.balancerKeys, key)
@@ -161,12 +168,13 @@
 
 // Each implements lease.Book.
 func (t *Table) Each(visit func(r lease.Record)) {
-	for i := range t.buckets {
-		rows := t.buckets[i].rows
-		for j := range rows {
-			if r := t.places.unpack(&rows[j]); !r.Tombstone() {
-				visit(r)
-			}
+	for group, count := range t.groups {
+		if count == 0 {
+			continue
+		}
+		first := group * groupBuckets
+		for i := first; i < first+groupBuckets; i++ {
+			t.buckets[i].each(&t.places, visit)
 		}
 	}
 }
@@ -178,6 +186,14 @@
 	return t.balancers
 }
 
+func (b *bucket) each(p *places, visit func(r lease.Record)) {
+	for i := range b.rows {
+		if r := p.unpack(&b.rows[i]); !r.Tombstone() {
+			visit(r)
+		}
+	}
+}
+
 // Candidates implements lease.Book.
 func (t *Table) Candidates(e node.Endpoint) []node.Endpoint {
 	t.list()
--- /dev/null
+++ b/internal/fleet/watch/script_test.go
@@ -0,0 +1,121 @@
+package watch_test
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/clementinewing/clementinewing/internal/fleet/lease"
+	"github.com/clementinewing/clementinewing/internal/fleet/watch"
+)
+
+const tickInterval = 50 * time.Millisecond
+
+var (
+	endpoint = lease.Key{
+		Service:     1,
+		Incarnation: 2,
+	}
+	healths = map[string]lease.Health{
+		"live":    lease.Live,
+		"suspect": lease.Suspect,
+		"absent":  lease.Absent,
+	}
+)
+
+// player runs one script and gathers the actions.
+type player struct {
+	watch   *watch.Watch
+	now     time.Time
+	actions []string
+	leased  lease.Health
+	paused  bool
+}
+
+func (p *player) step(e watch.Event) {
+	for _, a := range p.watch.Step(p.now, e) {
+		switch a := a.(type) {
+		case watch.Probe:
+			p.actions = append(p.actions, map[bool]string{
+				false: "probe",
+				true:  "fresh",
+			}[a.Fresh])
+		case watch.Turned:
+			p.actions = append(p.actions, map[bool]string{
+				false: "trust",
+				true:  "suspect",
+			}[a.Suspect])
+		}
+	}
+}
+
+func (p *player) advance(until time.Time) {
+	for !p.paused && p.now.Before(until) {
+		p.now = p.now.Add(tickInterval)
+		p.step(watch.Tick{})
+	}
+	if p.paused {
+		p.now = until
+		p.paused = false
+		p.step(watch.Tick{})
+	}
+}
+
+func (p *player) play(words []string) {
+	switch words[1] {
+	case "use":
+		p.step(watch.Used{
+			Key: endpoint,
+		})
+	case "answer":
+		p.step(watch.Answered{
+			Key: endpoint,
+		})
+	case "judge":
+		p.leased = healths[words[2]]
+		p.step(watch.Judged{
+			Key:    endpoint,
+			Health: p.leased,
+		})
+	case "pause":
+		p.paused = true
+	case "health":
+		Expect(p.watch.Health(p.now, endpoint, p.leased)).To(Equal(healths[words[2]]))
+	default:
+		panic("unknown event " + words[1])
+	}
+}
+
+var _ = Describe("the watch", func() {
+	raw, err := os.ReadFile("testdata/watch.txt")
+	if err != nil {
+		panic(err)
+	}
+	for _, part := range strings.Split(string(raw), "\n[")[1:] {
+		name, script, _ := strings.Cut(part, "]\n")
+		It(name, func() {
+			p := &player{
+				watch:  watch.New(),
+				now:    time.Unix(0, 0),
+				leased: lease.Live,
+			}
+			for text := range strings.Lines(script) {
+				event, want, _ := strings.Cut(strings.TrimSpace(text), "->")
+				words := strings.Fields(event)
+				if len(words) < 2 {
+					continue
+				}
+				ms, err := strconv.Atoi(words[0])
+				Expect(err).NotTo(HaveOccurred())
+				p.advance(time.Unix(0, 0).Add(time.Duration(ms) * time.Millisecond))
+				p.play(words)
+				Expect(strings.Join(p.actions, ", ")).To(Equal(strings.TrimSpace(want)), text)
+				p.actions = nil
+			}
+		})
+	}
+})
--- /dev/null
+++ b/internal/fleet/watch/suite_test.go
@@ -0,0 +1,13 @@
+package watch_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestWatch(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "watch")
+}
