--- a/cmd/cwlab/table.go
+++ b/cmd/cwlab/table.go
@@ -60,5 +60,15 @@
 			Usage: "calls a second to the store, against fleet size, changes, replacement and outage",
 			Run:   store.Run,
 		},
+		{
+			Name:  "control",
+			Usage: "bytes, heap and processor time of membership for one balancer",
+			Run:   fleet.Control,
+		},
+		{
+			Name:  "detect",
+			Usage: "time to stop using a dead upstream, and false suspicions",
+			Run:   fleet.Detect,
+		},
 	}
 }
