--- a/internal/trial/procs/fleet_test.go
+++ b/internal/trial/procs/fleet_test.go
@@ -10,7 +10,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -53,7 +52,6 @@
 	score    *score.Score
 	load     sync.WaitGroup
 	endLoad  context.CancelFunc
-	opened   atomic.Int64
 }
 
 func newFleet(program, fake string) *fleet {
@@ -205,7 +203,9 @@
 			_, dead := f.died.Load(upstream)
 			return dead
 		},
-		Score: f.score,
+		Score:     f.score,
+		FeedLeast: time.Second,
+		FeedMost:  4 * time.Second,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.endLoad = cancel
