side: put the file's limits in force at each upstream

Cause: slots, connections, weight_on and drain_seconds of an accepted file had no effect, because side processes never saw a file. Change: a balancer names its revision in each answer to a renewal, and a side process fetches what differs from the balancers that hold its leases. It never asks the store. What a service leaves open stays with the settings.

--- a/internal/board/file/file.go
+++ b/internal/board/file/file.go
@@ -102,6 +102,16 @@
 	return Operator{}, false
 }
 
+// Service finds a service by name.
+func (f File) Service(name string) (Service, bool) {
+	for i := range f.Services {
+		if f.Services[i].Pact.Name == name {
+			return f.Services[i], true
+		}
+	}
+	return Service{}, false
+}
+
 // DrainDeadline is when a drain that starts at from has to end.
 func (s Service) DrainDeadline(from time.Time) time.Time {
 	return from.Add(time.Duration(s.DrainSeconds) * time.Second)
--- a/internal/edge/peer/announcer.go
+++ b/internal/edge/peer/announcer.go
@@ -145,6 +145,12 @@
 			To: s.To,
 		}
 	}
+	if a.hooks.head != nil && reply.Revision > 0 {
+		a.hooks.head(member.Head{
+			Revision: reply.Revision,
+			Hash:     reply.Record,
+		})
+	}
 	return lease.Replied{
 		From:  s.To,
 		Reply: reply,
--- a/internal/edge/peer/decode.go
+++ b/internal/edge/peer/decode.go
@@ -119,6 +119,8 @@
 	if max(len(in.GetVerdicts()), len(in.GetHomes())) > maxParts {
 		return out, ErrSize
 	}
+	out.Revision = in.GetRevision()
+	out.Record = in.GetRecord()
 	for _, v := range in.GetVerdicts() {
 		out.Verdicts = append(out.Verdicts, lease.Verdict{
 			Key:     readKey(v.GetKey()),
--- a/internal/edge/peer/encode.go
+++ b/internal/edge/peer/encode.go
@@ -71,7 +71,10 @@
 }
 
 func writeRenewReply(in lease.RenewReply) *RenewResponse {
-	out := &RenewResponse{}
+	out := &RenewResponse{
+		Revision: in.Revision,
+		Record:   in.Record,
+	}
 	for _, v := range in.Verdicts {
 		out.Verdicts = append(out.Verdicts, &RenewVerdict{
 			Key:     writeKey(v.Key),
--- a/internal/edge/peer/links.go
+++ b/internal/edge/peer/links.go
@@ -217,3 +217,18 @@
 		delete(l.open, to)
 	}
 }
+
+// fetch gets a part of a file from the first of several balancers that has it.
+func (l *links) fetch(ctx context.Context, from []netip.AddrPort, hash string) (content []byte, err error) {
+	for _, p := range from {
+		c, err := l.get(p, false)
+		if err != nil {
+			continue
+		}
+		content, ok, err := c.FetchFile(ctx, hash)
+		if err == nil && ok {
+			return content, nil
+		}
+	}
+	return nil, ErrNoFile
+}
--- a/internal/edge/peer/member.go
+++ b/internal/edge/peer/member.go
@@ -25,6 +25,7 @@
 	behind     func(member.Head)
 	probe      func(e node.Endpoint, fresh bool)
 	superseded func()
+	head       func(member.Head)
 }
 
 // OnChange calls f with all endpoints after they have changed.
@@ -56,6 +57,13 @@
 	}
 }
 
+// OnHead calls f with the file that a balancer names in answer to a renewal.
+func OnHead(f func(member.Head)) Option {
+	return func(o *options) {
+		o.hooks.head = f
+	}
+}
+
 // Member runs a balancer's part in the fleet.
 type Member struct {
 	self   node.Endpoint
@@ -209,17 +217,7 @@
 	m.mu.Lock()
 	peers := append([]netip.AddrPort(nil), m.machine.Peers()...)
 	m.mu.Unlock()
-	for _, p := range peers {
-		c, err := m.links.get(p, false)
-		if err != nil {
-			continue
-		}
-		content, ok, err := c.FetchFile(ctx, hash)
-		if err == nil && ok {
-			return content, nil
-		}
-	}
-	return nil, ErrNoFile
+	return m.links.fetch(ctx, peers, hash)
 }
 
 // Renewed implements Handler.
@@ -234,6 +232,11 @@
 			reply = answer.Reply
 		}
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.machine.Head()
+	reply.Revision = h.Revision
+	reply.Record = h.Hash
 	return reply
 }
 
--- a/internal/fleet/lease/message.go
+++ b/internal/fleet/lease/message.go
@@ -36,6 +36,10 @@
 	// Homes are the control addresses of the balancers to renew with, the
 	// homes first, then the spares.
 	Homes []netip.AddrPort
+	// Revision and Record name the file in force at the balancer: its revision
+	// and the hash of its record, zero and empty before the first.
+	Revision uint64
+	Record   string
 }
 
 // Verdict is what a home balancer knows of an announced record.
--- a/internal/fleet/member/head.go
+++ b/internal/fleet/member/head.go
@@ -49,3 +49,8 @@
 		},
 	}
 }
+
+// Head is the file that the balancer has put in force, zero before the first.
+func (n *Node) Head() Head {
+	return n.head
+}
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -144,6 +144,13 @@
 	}, nil)
 }
 
+// Adjust runs change while no decision is made, so that it may change the gate.
+func (a *Agent) Adjust(change func()) {
+	a.flows.mutex.Lock()
+	defer a.flows.mutex.Unlock()
+	change()
+}
+
 // Emptied is closed once a drain has ended.
 func (a *Agent) Emptied() <-chan struct{} {
 	return a.emptied
--- a/internal/role/side/side.go
+++ b/internal/role/side/side.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/credentials"
 
 	"github.com/clementinewing/clementinewing/internal/conf/roles"
+	"github.com/clementinewing/clementinewing/internal/edge/follow"
 	"github.com/clementinewing/clementinewing/internal/edge/greet"
 	"github.com/clementinewing/clementinewing/internal/edge/keys"
 	"github.com/clementinewing/clementinewing/internal/edge/peer"
@@ -41,6 +42,8 @@
 	announcer   *peer.Announcer
 	store       store.Store
 	greeter     *greet.Greeter
+	gate        *admit.Gate
+	follower    *follow.Follower
 	started     time.Time
 	state       atomic.Uint32
 	mutex       sync.Mutex
@@ -98,17 +101,19 @@
 	if err != nil {
 		return nil, err
 	}
+	s.follower = follow.New(settings.Name, uint64(s.incarnation), nil, follow.WithAdopted(s.adopted))
 	s.announcer, err = peer.NewAnnouncer(s.incarnation, s.peerOptions()...)
 	if err != nil {
 		return nil, err
 	}
+	s.follower.SetPeers(s.announcer)
 	s.greeter = greet.NewAgent(s.store, uint64(s.incarnation), settings.Contacts, greet.WithLogger(s.logger))
 	return s, nil
 }
 
 func (s *Side) table() *owner.Table {
 	now := time.Now()
-	gate := admit.New(
+	s.gate = admit.New(
 		admit.Limits{
 			Slots:       int(s.settings.Slots),
 			Connections: int(s.settings.Connections),
@@ -120,13 +125,14 @@
 	)
 	return owner.New(
 		owner.WithIdentity(pact.Identify(s.settings.Service), s.incarnation),
-		owner.WithGate(gate),
+		owner.WithGate(s.gate),
 	)
 }
 
 func (s *Side) peerOptions() []peer.Option {
 	o := []peer.Option{
 		peer.WithSeeds(s.settings.Contacts...),
+		peer.OnHead(s.heard),
 	}
 	if s.client == nil {
 		return append(o, peer.WithInsecure())
@@ -152,6 +158,7 @@
 	calls, stopCalls := context.WithCancel(context.Background())
 	w.Go(func() { s.agent.Run(packets) })
 	w.Go(func() { s.announcer.Run(calls) })
+	w.Go(func() { s.follower.Run(calls) })
 	w.Go(func() { s.greeter.Run(calls, s.homes, s.announcer.SetSeeds) })
 	s.announce(node.Serving)
 	s.logger.Info().Str("service", s.settings.Service).Stringer("tunnel", s.Address()).Msg("serving")
@@ -168,7 +175,7 @@
 
 // leave drains the upstream and tells the balancers.
 func (s *Side) leave(kill context.Context) {
-	deadline := time.Now().Add(s.settings.Drain)
+	deadline := s.drainDeadline(time.Now())
 	s.logger.Info().Time("deadline", deadline).Msg("draining")
 	s.announce(node.Draining)
 	s.agent.Drain(deadline)
--- a/internal/role/side/state.go
+++ b/internal/role/side/state.go
@@ -58,7 +58,12 @@
 func (s *Side) State() meter.State {
 	c := s.agent.Counts().Owner
 	state := node.State(s.state.Load())
-	return meter.State{
+	var inHand, slots int
+	s.agent.Adjust(func() {
+		inHand = s.gate.InHand()
+		slots = s.gate.Slots(time.Now())
+	})
+	out := meter.State{
 		Role:     "agent",
 		Name:     s.settings.Name,
 		Place:    s.settings.Place.String(),
@@ -66,11 +71,12 @@
 		Started:  s.started,
 		Draining: state == node.Draining,
 		Flows: meter.Flows{
-			Connecting: c.Connecting,
-			HalfOpen:   c.Half,
-			Open:       c.Open,
-			Lingering:  c.Lingering,
-			SlotsLimit: int(s.settings.Slots),
+			Connecting:  c.Connecting,
+			HalfOpen:    c.Half,
+			Open:        c.Open,
+			Lingering:   c.Lingering,
+			SlotsInHand: inHand,
+			SlotsLimit:  slots,
 		},
 		Endpoints: []meter.Endpoint{
 			{
@@ -85,6 +91,12 @@
 		},
 		Reasons: s.reasons(),
 	}
+	if h := s.follower.Held(); h != nil {
+		out.Revision = h.Revision()
+		out.FileName = h.File.Name
+		out.FileSource = h.Record.Proposal.Operator
+	}
+	return out
 }
 
 // reasons gives every counter with the time at which it was last seen to rise.
