admit: let the earliest deadline go first among waiters

Cause: an opening that waits joins the end of the line at every candidate it is handed to, behind younger ones; one at 90 % of catalogue passed its deadline on its ninth walk. Change: the line is ordered by deadline. The script 'the earliest deadline goes first among waiters' failed before.

--- a/internal/bench/load/gated.go
+++ b/internal/bench/load/gated.go
@@ -120,8 +120,9 @@
 	g.world.waiting++
 	g.held[h.flow.hash] = h
 	gate.Wait(admit.Waiter{
-		Key:   h.flow.key,
-		Until: until,
+		Key:      h.flow.key,
+		Deadline: h.deadline,
+		Until:    until,
 	})
 	u := h.list[h.position]
 	g.world.clock.At(until, func() { g.serve(u) })
--- a/internal/flow/admit/line.go
+++ b/internal/flow/admit/line.go
@@ -10,17 +10,31 @@
 // Waiter is an opening that waits for a slot.
 type Waiter struct {
 	Key link.Key
+	// Deadline is when the opening must no longer be run. The earliest goes
+	// first; those without one follow in the order in which they came.
+	Deadline time.Time
 	// Until is when it stops waiting here, whether or not a slot is free.
 	Until time.Time
 }
 
 // Wait keeps an opening after an answer of Hold.
 func (g *Gate) Wait(w Waiter) {
-	g.line = append(g.line, w)
+	at := len(g.line)
+	for at > 0 && w.before(g.line[at-1]) {
+		at--
+	}
+	g.line = slices.Insert(g.line, at, w)
+}
+
+func (w Waiter) before(other Waiter) bool {
+	if w.Deadline.IsZero() || other.Deadline.IsZero() {
+		return !w.Deadline.IsZero()
+	}
+	return w.Deadline.Before(other.Deadline)
 }
 
 // Ready removes and gives the waiter that is to be asked for again, with Held
-// set: the first one whose time is over, else the oldest if there is room
+// set: the first one whose time is over, else the first in line if there is room
 // for it or the endpoint drains. Call it until it gives none, after every call that frees
 // a slot, and at the time that Wake gives.
 func (g *Gate) Ready(now time.Time) (w Waiter, ok bool) {
--- a/internal/flow/admit/script_test.go
+++ b/internal/flow/admit/script_test.go
@@ -181,8 +181,9 @@
 		p.gate.Take(p.now)
 	case admit.Hold:
 		p.gate.Wait(admit.Waiter{
-			Key:   p.key(a["key"]),
-			Until: got.Until,
+			Key:      p.key(a["key"]),
+			Deadline: a.moment("deadline"),
+			Until:    got.Until,
 		})
 		out += fmt.Sprintf(" until %d", got.Until.UnixMilli())
 	}
