--- a/internal/bench/fleet/loopback.go
+++ b/internal/bench/fleet/loopback.go
@@ -20,6 +20,7 @@
 
 	"github.com/clementinewing/clementinewing/internal/bench/report"
 	"github.com/clementinewing/clementinewing/internal/edge/peer"
+	"github.com/clementinewing/clementinewing/internal/fake/lossy"
 	"github.com/clementinewing/clementinewing/internal/world/node"
 	"github.com/clementinewing/clementinewing/internal/world/pact"
 )
@@ -29,15 +30,41 @@
 	loopbackEndpoints = 100
 	loopbackSettle    = 6 * time.Second
 	loopbackMeasured  = 10 * time.Second
-	// segmentBytes is what each write to a socket adds: the headers of TCP and
-	// IPv4 with timestamps, and half of an acknowledgment.
-	segmentBytes = 52 + 26
+	// modelSlack is by how much the sockets may exceed the model.
+	modelSlack = 1.1
+	// segmentBytes are the headers of TCP with timestamps and of IPv4.
+	segmentBytes = 52
 )
 
 // meter counts what crosses the sockets of all servers.
 type meter struct {
-	bytes  atomic.Int64
-	writes atomic.Int64
+	bytes atomic.Int64
+	mu    sync.Mutex
+	conns []*net.TCPConn
+}
+
+// segments counts what has crossed all sockets so far, acknowledgments included.
+func (m *meter) segments() (n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range m.conns {
+		n += segmentsOf(c)
+	}
+	return n
+}
+
+func segmentsOf(c *net.TCPConn) (n int64) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			n = int64(info.Segs_in) + int64(info.Segs_out)
+		}
+	})
+	return n
 }
 
 type meteredListener struct {
@@ -56,6 +83,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if t, ok := c.(*net.TCPConn); ok {
+		l.meter.mu.Lock()
+		l.meter.conns = append(l.meter.conns, t)
+		l.meter.mu.Unlock()
+	}
 	return meteredConn{
 		Conn:  c,
 		meter: l.meter,
@@ -66,7 +98,6 @@
 func (c meteredConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.meter.bytes.Add(int64(n))
-	c.meter.writes.Add(1)
 	return n, err
 }
 
@@ -74,7 +105,6 @@
 func (c meteredConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.meter.bytes.Add(int64(n))
-	c.meter.writes.Add(1)
 	return n, err
 }
 
@@ -96,10 +126,10 @@
 		return nil, err
 	}
 	time.Sleep(loopbackSettle)
-	bytes, writes, busy := m.bytes.Load(), m.writes.Load(), processorTime()
+	bytes, segments, busy := m.bytes.Load(), m.segments(), processorTime()
 	time.Sleep(loopbackMeasured)
 	bytes = m.bytes.Load() - bytes
-	writes = m.writes.Load() - writes
+	segments = m.segments() - segments
 	busy = processorTime() - busy
 	complete := 0
 	for _, x := range members {
@@ -109,19 +139,30 @@
 	}
 	balancers := float64(loopbackBalancers)
 	seconds := loopbackMeasured.Seconds()
-	// Each byte between balancers is counted at one end but belongs to both; those
-	// of side processes belong to one balancer. The model counts the same way.
-	socket := float64(bytes+writes*segmentBytes) / balancers / seconds
-	model := bytesOnce(loopbackBalancers, loopbackEndpoints, false, 1)
+	// Servers see each call once; the model counts a call between balancers at
+	// both ends, so calls and not balancers are compared.
+	wire := float64(bytes+segments*segmentBytes) / balancers / seconds
+	model := modelAtServers()
 	return []report.Row{
 		report.Summarize("loopback_30_balancers_complete", "balancers", report.AtLeast, balancers, []float64{float64(complete)}),
-		report.Summarize("loopback_bytes_at_servers", "B/s", report.Info, 0, []float64{socket}),
+		report.Summarize("loopback_bytes_at_servers", "B/s", report.Info, 0, []float64{wire}),
 		report.Summarize("loopback_payload_at_servers", "B/s", report.Info, 0, []float64{float64(bytes) / balancers / seconds}),
-		report.Summarize("model_bytes_both_ends", "B/s", report.Info, 0, []float64{model}),
+		report.Summarize("model_bytes_at_servers", "B/s", report.Info, 0, []float64{model}),
+		report.Summarize("loopback_over_model", "1", report.AtMost, modelSlack, []float64{wire / model}),
 		report.Summarize("loopback_core_share_of_a_balancer", "%", report.AtMost, targetCoreBound, []float64{100 * busy.Seconds() / balancers / seconds}),
 	}, nil
 }
 
+// modelAtServers gives the model's bytes at the same size, each call once.
+func modelAtServers() float64 {
+	g := NewRig(1, lossy.WithDelay(linkDelay, linkJitter))
+	g.SettledWith(loopbackBalancers, loopbackEndpoints)
+	g.Run(3 * settle)
+	g.Sizes = true
+	g.Run(measured)
+	return float64(g.Served) / loopbackBalancers / measured.Seconds()
+}
+
 func startLoopback(ctx context.Context, running *sync.WaitGroup, m *meter, secure peer.Option) (members []*peer.Member, err error) {
 	var seeds []netip.AddrPort
 	for i := range loopbackBalancers {
--- a/internal/bench/fleet/rig.go
+++ b/internal/bench/fleet/rig.go
@@ -27,8 +27,10 @@
 	Agents    []*Agent
 	// Sizes turns on the count of bytes.
 	Sizes bool
-	ends  map[netip.AddrPort]*Balancer
-	seeds []netip.AddrPort
+	// Served counts each call's bytes once.
+	Served int
+	ends   map[netip.AddrPort]*Balancer
+	seeds  []netip.AddrPort
 	// sides finds a side process, which answers probes of its own life only.
 	sides map[node.Incarnation]*Agent
 	ports uint32
@@ -408,6 +410,7 @@
 		size += peer.ExchangeBytes(*exchange)
 	}
 	from.Bytes += size
+	g.Served += size
 	if to != nil {
 		to.Bytes += size
 	}
@@ -425,6 +428,7 @@
 	}
 	from.Bytes += size
 	to.Bytes += size
+	g.Served += size
 }
 
 // Update announces a change of the agent's endpoint.
--- a/internal/edge/peer/links.go
+++ b/internal/edge/peer/links.go
@@ -27,6 +27,9 @@
 	connectTimeout = time.Second
 	// maxBackoff bounds the wait between two tries to connect.
 	maxBackoff = 2 * time.Second
+	// windowBytes is a fixed flow-control window. It turns off the estimate of the
+	// bandwidth, whose pings would cost as much as the messages.
+	windowBytes = 1 << 20
 	// maxMessageBytes bounds one message: a file of a megabyte and its frame.
 	maxMessageBytes = 2 << 20
 )
@@ -89,6 +92,8 @@
 		grpc.WithTransportCredentials(creds),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithIdleTimeout(idleLife),
+		grpc.WithInitialWindowSize(windowBytes),
+		grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff: backoff.Config{
--- a/internal/edge/peer/server.go
+++ b/internal/edge/peer/server.go
@@ -65,6 +65,8 @@
 			grpc.Creds(o.server),
 			grpc.MaxRecvMsgSize(maxMessageBytes),
 			grpc.WaitForHandlers(true),
+			grpc.InitialWindowSize(windowBytes),
+			grpc.InitialConnWindowSize(windowBytes),
 			grpc.ConnectionTimeout(connectTimeout),
 			grpc.KeepaliveParams(keepalive.ServerParameters{
 				MaxConnectionIdle: serverIdle,
--- a/internal/fleet/lease/registry.go
+++ b/internal/fleet/lease/registry.go
@@ -17,7 +17,7 @@
 	At(e node.Endpoint) []Record
 	// Candidates lists the balancers that may be homes of an endpoint: those of
 	// its region that are neither suspect nor away, or of all regions if that are
-	// too few. The caller must not change the list.
+	// too few, in order of region. The caller must not change the list.
 	Candidates(e node.Endpoint) []node.Endpoint
 	// Each calls visit for every record that is not a tombstone.
 	Each(visit func(r Record))
@@ -27,6 +27,7 @@
 // balancer is a home. It is not safe for concurrent use.
 type Registry struct {
 	self   node.Incarnation
+	region string
 	book   Book
 	leases map[Key]*held
 	// due is when the next tick is late enough to mean that the node was paused.
@@ -112,9 +113,10 @@
 func (Ask) registryAction()     {}
 
 // NewRegistry makes the registry of a balancer.
-func NewRegistry(self node.Incarnation, book Book) *Registry {
+func NewRegistry(self node.Endpoint, book Book) *Registry {
 	return &Registry{
-		self:   self,
+		self:   self.Incarnation,
+		region: self.Place.Region,
 		book:   book,
 		leases: map[Key]*held{},
 	}
@@ -295,8 +297,19 @@
 	return Life
 }
 
+// elsewhere tells whether all candidates, which are in order of region, stand in
+// the record's region and this balancer does not.
+func (g *Registry) elsewhere(r Record, balancers []node.Endpoint) bool {
+	region := r.Endpoint.Place.Region
+	last := balancers[len(balancers)-1]
+	return g.region != region && balancers[0].Place.Region == region && last.Place.Region == region
+}
+
 func (g *Registry) isHome(r Record) bool {
 	balancers := g.book.Candidates(r.Endpoint)
+	if len(balancers) == 0 || g.elsewhere(r, balancers) {
+		return false
+	}
 	if !likely(r.Endpoint.Incarnation, g.self, len(balancers)) {
 		return false
 	}
--- a/internal/fleet/lease/script_test.go
+++ b/internal/fleet/lease/script_test.go
@@ -49,7 +49,9 @@
 			Health: lease.Live,
 		})
 	}
-	p.registry = lease.NewRegistry(100, p.table)
+	p.registry = lease.NewRegistry(node.Endpoint{
+		Incarnation: 100,
+	}, p.table)
 	return p
 }
 
--- a/internal/fleet/member/node.go
+++ b/internal/fleet/member/node.go
@@ -79,7 +79,7 @@
 		self:      self,
 		table:     table,
 		announcer: lease.NewAnnouncer(random, nil),
-		registry:  lease.NewRegistry(self.Incarnation, table),
+		registry:  lease.NewRegistry(self, table),
 		spread:    spread.New(self, table, random, o.seeds),
 		calls:     map[uint64]call{},
 		watch:     watch.New(),
--- a/internal/fleet/spread/spread.go
+++ b/internal/fleet/spread/spread.go
@@ -155,7 +155,7 @@
 // Settled tells whether the table was once brought in step with that of a settled
 // peer, or there is no peer, or SettleLife has passed.
 func (s *Spread) Settled(now time.Time) bool {
-	return s.compared || len(s.Peers()) == 0 || !s.started.IsZero() && now.After(s.started.Add(SettleLife))
+	return s.compared || len(s.targets()) == 0 || !s.started.IsZero() && now.After(s.started.Add(SettleLife))
 }
 
 // Step takes one event and tells what is to be done.
