--- a/internal/flow/owner/event.go
+++ b/internal/flow/owner/event.go
@@ -15,7 +15,9 @@
 }
 
 // Arrived is a packet of a flow, handed over by a balancer or another side
-// process.
+// process. Before it is stepped, endpoints of this endpoint's own service that the
+// side process knows and the message lacks are added to the candidates, as far as
+// there is room: a balancer may not know a new endpoint yet.
 type Arrived struct {
 	Packet      link.Packet
 	Service     pact.ServiceID
