--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/clementinewing/clementinewing/internal/flow/owner"
 	"github.com/clementinewing/clementinewing/internal/flow/probe"
 	"github.com/clementinewing/clementinewing/internal/world/link"
+	"github.com/clementinewing/clementinewing/internal/world/node"
 )
 
 const (
@@ -33,17 +34,19 @@
 	upstream netip.AddrPort
 	fabric   netip.AddrPort
 	ring     *keys.Ring
-	logger   zerolog.Logger
-	idle     time.Duration
-	tunnel   *net.UDPConn
-	stack    *stack.Stack
-	senders  *wire.Senders
-	flows    *shard
-	peers    *peers
-	counts   counts
-	emptied  chan struct{}
-	stopped  chan struct{}
-	closing  sync.WaitGroup
+	// incarnation is named in hints as the owner.
+	incarnation node.Incarnation
+	logger      zerolog.Logger
+	idle        time.Duration
+	tunnel      *net.UDPConn
+	stack       *stack.Stack
+	senders     *wire.Senders
+	flows       *shard
+	peers       *peers
+	counts      counts
+	emptied     chan struct{}
+	stopped     chan struct{}
+	closing     sync.WaitGroup
 }
 
 // Option sets one property of an Agent.
@@ -70,6 +73,13 @@
 	}
 }
 
+// WithIncarnation sets the incarnation that hints name; it is the table's.
+func WithIncarnation(i node.Incarnation) Option {
+	return func(a *Agent) {
+		a.incarnation = i
+	}
+}
+
 // WithLogger sets the logger.
 func WithLogger(l zerolog.Logger) Option {
 	return func(a *Agent) {
--- a/internal/role/agent/agent_test.go
+++ b/internal/role/agent/agent_test.go
@@ -85,7 +85,7 @@
 	DeferCleanup(u.Kill)
 	incarnation := node.Incarnation(i + 1)
 	table := owner.New(append(options, owner.WithIdentity(service, incarnation))...)
-	a, err := agent.New(b.ring, table, agent.WithUpstream(u.Address()), agent.WithFabric(b.fabric.AnswerAddress()))
+	a, err := agent.New(b.ring, table, agent.WithIncarnation(incarnation), agent.WithUpstream(u.Address()), agent.WithFabric(b.fabric.AnswerAddress()))
 	Expect(err).NotTo(HaveOccurred())
 	b.stops = append(b.stops, run(ctx, a.Run))
 	b.origins = append(b.origins, u)
--- a/internal/role/agent/shard.go
+++ b/internal/role/agent/shard.go
@@ -98,6 +98,17 @@
 	return s.flows[k]
 }
 
+// kept gives the opening of a flow whose handshake is not complete, or nil.
+func (s *shard) kept(k link.Key) *wire.Message {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	f := s.flows[k]
+	if f == nil {
+		return nil
+	}
+	return f.opening
+}
+
 func (s *shard) forget(f *flow) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -164,6 +175,10 @@
 	m.Denied = c.Denied
 	m.Round = c.Round
 	next := m.Candidates[c.Position].Agent
+	if c.Relay && m.Balancer.IsValid() {
+		s.send(a.tunnel, m, m.Balancer)
+		return
+	}
 	s.send(a.link(next), m, next)
 	a.stepPeers(probe.Sent{
 		Peer: next,
@@ -181,7 +196,12 @@
 	_, _ = a.tunnel.WriteToUDPAddrPort(craft.Reset(nil, p), a.fabric)
 }
 
+// hint names this endpoint as the owner. After a handshake was begun the packet
+// that the hint is about is the kept opening.
 func (a *Agent) hint(s *shard, c owner.Hint, m *wire.Message) {
+	if m == nil {
+		m = s.kept(c.Key)
+	}
 	if m == nil {
 		return
 	}
@@ -190,7 +210,10 @@
 		Service:  m.Service,
 		Balancer: c.Balancer,
 		Candidates: []wire.Candidate{
-			m.Candidates[m.Position],
+			{
+				Agent:       a.Address(),
+				Incarnation: a.incarnation,
+			},
 		},
 		Inner: m.Inner[:min(len(m.Inner), hintBytes)],
 	}, c.Balancer)
--- a/internal/role/side/side.go
+++ b/internal/role/side/side.go
@@ -95,6 +95,7 @@
 		agent.WithListen(settings.Tunnel),
 		agent.WithUpstream(settings.Upstream),
 		agent.WithFabric(settings.Fabric),
+		agent.WithIncarnation(s.incarnation),
 		agent.WithKeepalive(settings.Keepalive),
 		agent.WithLogger(s.logger),
 	)
