entry: relay packets that a side process cannot hand on

Cause: where two side processes do not reach each other, only a balancer reaches the owner; packets sent back to it were dropped as foreign. The side process also read datagrams into 4,096 bytes where the format allows 9,216. The script's packet_kind expected the drop; it becomes three cases (relayed, of no flow, for another balancer), and probes take its place as a kind that side processes do not send.

--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -23,7 +23,6 @@
 )
 
 const (
-	datagramBytes = 4096
 	socketBytes   = 4 << 20
 	tickInterval  = 50 * time.Millisecond
 )
@@ -182,7 +181,7 @@
 
 func (a *Agent) receive(socket *net.UDPConn) {
 	opener := wire.NewOpener(a.ring, wire.WithSenders(a.senders))
-	b := make([]byte, datagramBytes)
+	b := make([]byte, wire.MaxBytes)
 	m := &wire.Message{}
 	for {
 		n, from, err := socket.ReadFromUDPAddrPort(b)
--- a/internal/role/entry/counts.go
+++ b/internal/role/entry/counts.go
@@ -32,6 +32,10 @@
 	Answers
 	// LinkFailed counts probes and new links that the kernel refused.
 	LinkFailed
+	// Relayed counts packets sent on for a side process, RelayForeign those that
+	// name no flow or another balancer.
+	Relayed
+	RelayForeign
 	// Datagrams dropped: a hint that names no flow, one for another balancer, one
 	// that names an endpoint that the service does not have, an answer to no own
 	// probe, a kind that side processes do not send.
@@ -59,6 +63,8 @@
 	HintsKept:      "hints_kept",
 	Answers:        "answers",
 	LinkFailed:     "link_failed",
+	Relayed:        "relayed",
+	RelayForeign:   "relay_foreign",
 	HintMalformed:  "hint_malformed",
 	HintForeign:    "hint_foreign",
 	HintNoOwner:    "hint_no_owner",
--- a/internal/role/entry/entry_test.go
+++ b/internal/role/entry/entry_test.go
@@ -365,6 +365,7 @@
 		"packet": wire.Packet,
 		"hint":   wire.Hint,
 		"answer": wire.Answer,
+		"probe":  wire.Probe,
 	}[words[0]]
 	switch {
 	case len(words) == 1:
--- a/internal/role/entry/tunnel.go
+++ b/internal/role/entry/tunnel.go
@@ -10,6 +10,7 @@
 func (e *Entry) receive(s *batch.Socket) error {
 	reader := batch.NewReader(s, tunnelPackets, wire.MaxBytes)
 	opener := wire.NewOpener(e.ring, wire.WithSenders(e.senders))
+	sealer := wire.NewSealer(e.ring)
 	var m wire.Message
 	for {
 		n, err := reader.Read()
@@ -17,7 +18,11 @@
 			return err
 		}
 		for i := range n {
-			e.totals.one(e.take(opener, reader, i, &m))
+			c := e.take(opener, reader, i, &m)
+			if c == Relayed {
+				c = e.relay(s, sealer, &m)
+			}
+			e.totals.one(c)
 		}
 	}
 }
@@ -35,11 +40,27 @@
 		return e.hint(m)
 	case wire.Answer:
 		return e.answer(m)
+	case wire.Packet:
+		return Relayed
 	default:
 		return KindForeign
 	}
 }
 
+// relay sends a packet on to the candidate that a side process cannot reach. A
+// packet that names another balancer goes nowhere, so that none goes in circles.
+func (e *Entry) relay(s *batch.Socket, sealer *wire.Sealer, m *wire.Message) Counter {
+	_, err := link.ParseKey(m.Inner)
+	if err != nil || m.Balancer != e.Tunnel() || int(m.Position) >= len(m.Candidates) {
+		return RelayForeign
+	}
+	err = s.WriteTo(sealer.Seal(nil, m), m.Candidates[m.Position].Agent)
+	if err != nil {
+		return DropSend
+	}
+	return Relayed
+}
+
 // hint keeps the owner that a side process names. A hint that was meant for
 // another balancer, or for this address in another life, costs a hand-over at
 // most.
