--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -23,8 +23,8 @@
 )
 
 const (
-	socketBytes   = 4 << 20
-	tickInterval  = 50 * time.Millisecond
+	socketBytes  = 4 << 20
+	tickInterval = 50 * time.Millisecond
 )
 
 // Agent is one side process beside one upstream.
--- a/internal/role/entry/entry_test.go
+++ b/internal/role/entry/entry_test.go
@@ -229,6 +229,18 @@
 		Eventually(b.counted("hinted"), 20*time.Second).Should(Equal(uint64(1)))
 	})
 
+	It("relays a packet to a candidate that a side process cannot reach", func() {
+		b := newBed(true)
+		m := b.hint(b.endpoints[1].Incarnation)
+		m.Kind = wire.Packet
+		m.Candidates[0].Agent = b.endpoints[1].Agent
+		b.tell(0, m)
+		got, _ := b.receive(1, wire.Packet)
+		Expect(got.Inner).To(Equal(m.Inner))
+		Expect(got.Candidates).To(Equal(m.Candidates))
+		Eventually(b.counted("relayed"), 20*time.Second).Should(Equal(uint64(1)))
+	})
+
 	It("sends a repeated opening past the candidate that got it before", func() {
 		b := newBed(true)
 		b.send(unhex(syn))
