flow: hold a waiting opening for a moment, not for its whole deadline

An opening waited 3 s at the first candidate that held it, past the caller's first retransmission at 1 s, so it was taken twice, and the half-open double kept a slot: a state that fed itself. Slots also came back late, since quiet was looked for every 50 ms only. A newcomer among the balancers steers nothing before it knows the fleet, and /ready says so. Judging a kill: a request that was open at the kill and never ran may have been the dead upstream's; one opened after it is never excused.

--- a/cmd/clementinewing/agent.go
+++ b/cmd/clementinewing/agent.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	m := meter.New("agent", s.Sample, func() any { return s.State() })
+	m := meter.New("agent", s.Sample, func() any { return s.State() }, s.Ready)
 	stop := beside(logger, settings.Status, m, func() {
 		next, err := roles.ReadAgent(path)
 		if err != nil {
--- a/cmd/clementinewing/balancer.go
+++ b/cmd/clementinewing/balancer.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	m := meter.New("balancer", f.Sample, func() any { return f.State() })
+	m := meter.New("balancer", f.Sample, func() any { return f.State() }, f.Ready)
 	stop := beside(logger, settings.Status, m, func() {
 		next, err := roles.ReadBalancer(path)
 		if err != nil {
--- a/internal/demo/calls/calls.go
+++ b/internal/demo/calls/calls.go
@@ -39,8 +39,11 @@
 	// Once tells that a request must not run twice.
 	Once bool
 	// Died tells whether the upstream of the given name has been killed.
-	Died  func(upstream string) bool
-	Score *score.Score
+	Died func(upstream string) bool
+	// DiedSince tells whether some upstream was killed at or after a time. A flow
+	// that was open then and that no living upstream has run may have been its.
+	DiedSince func(at time.Time) bool
+	Score     *score.Score
 	// FeedLeast and FeedMost bound how long a feed is kept open.
 	FeedLeast time.Duration
 	FeedMost  time.Duration
@@ -100,7 +103,7 @@
 	case isRefused(err):
 		s.Score.Refused(len(runs) > 0)
 	default:
-		s.Score.Broken(s.causeOf(runs), fmt.Sprintf("request %s: opened at %s, connected %v, run %d times, answer %q: %v",
+		s.Score.Broken(s.causeOf(runs, opened), fmt.Sprintf("request %s: opened at %s, connected %v, run %d times, answer %q: %v",
 			id, opened.Format(time.TimeOnly), connected, len(runs), body, err))
 	}
 	s.Score.Checked(s.Once && len(runs) > 1, s.strayed(runs), whole && len(runs) == 0)
@@ -131,8 +134,12 @@
 	return err != nil && (errors.Is(err, syscall.ECONNREFUSED) || strings.Contains(err.Error(), "connection was refused"))
 }
 
-// causeOf blames a broken request on its upstream only if that was killed.
-func (s *Service) causeOf(runs []origin.Run) score.Cause {
+// causeOf blames a broken request on its upstream only if that was killed. One that
+// was opened after the last kill is never excused.
+func (s *Service) causeOf(runs []origin.Run, opened time.Time) score.Cause {
+	if len(runs) == 0 && s.DiedSince(opened) {
+		return score.DeadUpstream
+	}
 	for _, r := range runs {
 		if s.Died(r.Upstream) {
 			return score.DeadUpstream
@@ -155,6 +162,7 @@
 	ctx, cancel := context.WithTimeout(ctx, length)
 	defer cancel()
 	s.Score.Opened()
+	opened := time.Now()
 	seen, err := s.read(ctx)
 	stalled := seen.upstream != "" && time.Since(seen.heard) > stallTimeout
 	switch {
@@ -163,7 +171,7 @@
 	case isRefused(err):
 		s.Score.Refused(false)
 		sleep(ctx, time.Second)
-	case s.Died(seen.upstream):
+	case s.Died(seen.upstream) || seen.upstream == "" && s.DiedSince(opened):
 		s.Score.Broken(score.DeadUpstream, "")
 	default:
 		s.Score.Broken(score.Planned, fmt.Sprintf("feed of %q, last heard %s ago: %v",
--- a/internal/demo/play/play.go
+++ b/internal/demo/play/play.go
@@ -163,7 +163,9 @@
 		Ledger: h.stage.Ledger,
 		Once:   spec.Contract == pact.Once,
 		Died:   h.stage.Died,
-		Score:  sc,
+
+		DiedSince: h.stage.DiedSince,
+		Score:     sc,
 
 		FeedLeast: feedLeast,
 		FeedMost:  feedMost,
--- a/internal/demo/stage/stage.go
+++ b/internal/demo/stage/stage.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -38,6 +39,8 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	tasks      sync.WaitGroup
+	// killed is when an upstream was last killed, in nanoseconds of Unix time.
+	killed atomic.Int64
 
 	mutex     sync.Mutex
 	balancers []*Balancer
--- a/internal/demo/stage/upstream.go
+++ b/internal/demo/stage/upstream.go
@@ -91,6 +91,7 @@
 // KillUpstream ends an upstream and its side process at once.
 func (s *Stage) KillUpstream(u *Upstream) {
 	u.dead.Store(true)
+	s.killed.Store(time.Now().UnixNano())
 	u.Origin.Kill()
 	u.kill()
 	<-u.done
@@ -104,6 +105,11 @@
 	return u != nil && u.dead.Load()
 }
 
+// DiedSince tells whether some upstream was killed at or after a time.
+func (s *Stage) DiedSince(at time.Time) bool {
+	return s.killed.Load() >= at.UnixNano()
+}
+
 // Serving gives the upstreams of a service that take new flows.
 func (s *Stage) Serving(service string) (out []*Upstream) {
 	s.mutex.Lock()
--- a/internal/edge/meter/meter.go
+++ b/internal/edge/meter/meter.go
@@ -1,6 +1,6 @@
 // Package meter publishes counters and state of a running role over HTTP: metrics
-// by tally in the Prometheus text format on /metrics, and one JSON document on
-// /state.
+// by tally in the Prometheus text format on /metrics, one JSON document on /state,
+// and on /ready whether it may be given work.
 package meter
 
 import (
@@ -48,6 +48,7 @@
 type Meter struct {
 	sample  func() Sample
 	state   func() any
+	ready   func() bool
 	scope   tally.Scope
 	closer  io.Closer
 	handler http.Handler
@@ -62,7 +63,7 @@
 
 // New makes a meter for a role; names in samples get the prefix clementinewing
 // and the role.
-func New(role string, sample func() Sample, state func() any) *Meter {
+func New(role string, sample func() Sample, state func() any, ready func() bool) *Meter {
 	reporter := prometheus.NewReporter(prometheus.Options{})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "clementinewing_" + role,
@@ -75,6 +76,7 @@
 	return &Meter{
 		sample:  sample,
 		state:   state,
+		ready:   ready,
 		scope:   scope,
 		closer:  closer,
 		handler: reporter.HTTPHandler(),
@@ -103,14 +105,22 @@
 	return errors.Join(err, m.closer.Close())
 }
 
-// Handler answers /metrics and /state.
+// Handler answers /metrics, /state and /ready.
 func (m *Meter) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", m.handler)
 	mux.HandleFunc("/state", m.serveState)
+	mux.HandleFunc("/ready", m.serveReady)
 	return mux
 }
 
+// serveReady answers 200 if the role may be given work, else 503.
+func (m *Meter) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !m.ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+	}
+}
+
 func (m *Meter) serveState(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	encoder := json.NewEncoder(w)
--- a/internal/flow/owner/admit.go
+++ b/internal/flow/owner/admit.go
@@ -84,17 +84,16 @@
 	if now.Before(t.holdFor) {
 		return t.drop(Woken, out)
 	}
-	deadline := now.Add(t.opening)
-	answer := t.gate.Ask(now, w.ask(deadline, false))
+	patience := now.Add(t.patience)
+	answer := t.gate.Ask(now, w.ask(patience, false))
 	switch answer.Next {
 	case admit.Taken:
 		f := t.add(e, connecting)
-		f.deadline = deadline
 		return t.take(now, f, out)
 	case admit.Hold:
 		f := t.add(e, waiting)
-		f.deadline = deadline
-		return t.wait(f, append(out, Keep{
+		f.deadline = patience
+		return t.wait(f, answer.Until, append(out, Keep{
 			Key:    f.key,
 			Serial: f.serial,
 		}))
@@ -120,6 +119,7 @@
 
 func (t *Table) take(now time.Time, f *flow, out []Action) []Action {
 	t.gate.Take(now)
+	f.deadline = now.Add(t.opening)
 	f.work = admit.Open(now)
 	t.counts.Taken++
 	return append(out, Connect{
@@ -128,10 +128,16 @@
 	})
 }
 
-func (t *Table) wait(f *flow, out []Action) []Action {
+// wait keeps an opening for a slot: for a moment while there are others to ask, at
+// the last one until its deadline.
+func (t *Table) wait(f *flow, until time.Time, out []Action) []Action {
+	if !f.walk.goesOn() {
+		until = f.deadline
+	}
 	t.gate.Wait(admit.Waiter{
-		Key:   f.key,
-		Until: f.deadline,
+		Key:      f.key,
+		Deadline: f.deadline,
+		Until:    until,
 	})
 	return out
 }
@@ -163,7 +169,7 @@
 		t.move(f, connecting)
 		return t.take(now, f, out)
 	case admit.Hold:
-		return t.wait(f, out)
+		return t.wait(f, answer.Until, out)
 	case admit.HandOn:
 		t.forget(f)
 		return t.handOn(f.walk, f.key, why, out)
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -16,7 +16,10 @@
 
 // Defaults of a Table.
 const (
-	defaultOpening   = 3 * time.Second
+	defaultOpening = 3 * time.Second
+	// defaultPatience is shorter than a caller's first retransmission (RFC 6298:
+	// 1 s), which would have the opening taken a second time elsewhere.
+	defaultPatience  = 900 * time.Millisecond
 	defaultHandshake = 30 * time.Second
 	defaultLinger    = 30 * time.Second
 	defaultIdle      = 60 * time.Second
@@ -52,6 +55,7 @@
 	incarnation node.Incarnation
 	gate        Gate
 	opening     time.Duration
+	patience    time.Duration
 	handshake   time.Duration
 	linger      time.Duration
 	idle        time.Duration
@@ -132,6 +136,7 @@
 			Connections: defaultFlows,
 		}),
 		opening:   defaultOpening,
+		patience:  defaultPatience,
 		handshake: defaultHandshake,
 		linger:    defaultLinger,
 		idle:      defaultIdle,
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -24,7 +24,7 @@
 
 const (
 	socketBytes  = 4 << 20
-	tickInterval = 50 * time.Millisecond
+	tickInterval = 5 * time.Millisecond
 )
 
 // Agent is one side process beside one upstream.
--- a/internal/role/front/front.go
+++ b/internal/role/front/front.go
@@ -31,7 +31,7 @@
 
 const (
 	leaveTimeout    = 2 * time.Second
-	membersInterval = time.Second
+	membersInterval = 200 * time.Millisecond
 	balancerShare   = 100
 )
 
@@ -55,6 +55,9 @@
 	mutex     sync.Mutex
 	endpoints []node.Endpoint
 	silent    map[netip.AddrPort]bool
+	// ready is set once and stays: a balancer that loses sight of the fleet for a
+	// while goes on with what it learns.
+	ready bool
 }
 
 // Option sets one property of a Front.
@@ -186,6 +189,12 @@
 	f.follower.Heard(h.Revision, record)
 }
 
+// Ready tells whether the fabric may hand packets to this balancer: it knows the
+// fleet and has a file.
+func (f *Front) Ready() bool {
+	return f.member.Ready() && f.follower.Held() != nil
+}
+
 func (f *Front) setEndpoints(endpoints []node.Endpoint) {
 	f.mutex.Lock()
 	f.endpoints = endpoints
@@ -193,10 +202,16 @@
 	f.rebuild()
 }
 
-// rebuild steers by the file in force and the endpoints of now.
+// rebuild steers by the file in force and the endpoints of now. A newcomer steers
+// nothing before it knows the fleet: packets that it drops are sent again, while an
+// owner that it did not know of would be passed over.
 func (f *Front) rebuild() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.ready = f.ready || f.member.Ready()
+	if !f.ready {
+		return
+	}
 	f.entry.SetServices(route.Build(f.File(), f.endpoints))
 }
 
@@ -220,11 +235,22 @@
 	return h.File
 }
 
+// becomeReady lets a newcomer steer as soon as it knows the fleet.
+func (f *Front) becomeReady() {
+	f.mutex.Lock()
+	waits := !f.ready && f.member.Ready()
+	f.mutex.Unlock()
+	if waits {
+		f.rebuild()
+	}
+}
+
 // tellMembers tells the follower who else is in this failure domain.
 func (f *Front) tellMembers(ctx context.Context) {
 	ticker := time.NewTicker(membersInterval)
 	defer ticker.Stop()
 	for {
+		f.becomeReady()
 		names := []string{f.settings.Name}
 		for _, b := range f.member.Balancers() {
 			if b.Place == f.settings.Place {
--- a/internal/role/side/side.go
+++ b/internal/role/side/side.go
@@ -146,6 +146,11 @@
 	return s.agent.Address()
 }
 
+// Ready tells whether some balancer knows of this endpoint.
+func (s *Side) Ready() bool {
+	return len(s.announcer.Holders()) > 0
+}
+
 // SetKeys puts other keys for datagrams in force; open flows go on.
 func (s *Side) SetKeys(k *keys.Set) {
 	s.ring.Swap(k)
--- a/internal/trial/procs/fleet_test.go
+++ b/internal/trial/procs/fleet_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -49,9 +50,11 @@
 	store    netip.AddrPort
 	contacts string
 	died     sync.Map
-	score    *score.Score
-	load     sync.WaitGroup
-	endLoad  context.CancelFunc
+	// killed is when an upstream's side process was killed, in nanoseconds.
+	killed  atomic.Int64
+	score   *score.Score
+	load    sync.WaitGroup
+	endLoad context.CancelFunc
 }
 
 func newFleet(program, fake string) *fleet {
@@ -203,6 +206,9 @@
 			_, dead := f.died.Load(upstream)
 			return dead
 		},
+		DiedSince: func(at time.Time) bool {
+			return f.killed.Load() >= at.UnixNano()
+		},
 		Score:     f.score,
 		FeedLeast: time.Second,
 		FeedMost:  4 * time.Second,
--- a/internal/trial/procs/procs_test.go
+++ b/internal/trial/procs/procs_test.go
@@ -72,6 +72,7 @@
 		Eventually(f.sessions[step[1]].Exited).WithTimeout(patience).Should(BeClosed())
 	case "died":
 		f.died.Store(step[1], true)
+		f.killed.Store(time.Now().UnixNano())
 	case "restart":
 		f.restart(step[1])
 	case "broken":
