--- a/internal/role/front/front.go
+++ b/internal/role/front/front.go
@@ -48,9 +48,12 @@
 	member      *peer.Member
 	store       store.Store
 	follower    *follow.Follower
-	greeter     *greet.Greeter
-	refusals    refusals
-	started     time.Time
+	// superseded ends once another process has taken this one's address.
+	superseded context.Context
+	giveUp     context.CancelFunc
+	greeter    *greet.Greeter
+	refusals   refusals
+	started    time.Time
 
 	mutex     sync.Mutex
 	endpoints []node.Endpoint
@@ -96,6 +99,7 @@
 		started:     time.Now(),
 		silent:      map[netip.AddrPort]bool{},
 	}
+	f.superseded, f.giveUp = context.WithCancel(context.Background())
 	for _, o := range options {
 		o(f)
 	}
@@ -146,6 +150,7 @@
 		peer.OnChange(f.setEndpoints),
 		peer.OnBehind(f.behind),
 		peer.WithFiles(f.follower),
+		peer.OnSuperseded(f.giveUp),
 	}
 	if f.client == nil {
 		return append(o, peer.WithInsecure())
@@ -289,6 +294,8 @@
 		f.leave(kill)
 	case <-kill.Done():
 	case <-ctx.Done():
+	case <-f.superseded.Done():
+		f.logger.Error().Msg("another process has taken this address")
 	}
 	cancel(nil)
 	w.Wait()
--- a/internal/role/side/side.go
+++ b/internal/role/side/side.go
@@ -43,11 +43,14 @@
 	store       store.Store
 	greeter     *greet.Greeter
 	gate        *admit.Gate
-	follower    *follow.Follower
-	started     time.Time
-	state       atomic.Uint32
-	mutex       sync.Mutex
-	last        map[string]lastCount
+	// superseded ends once another process has taken this one's address.
+	superseded context.Context
+	giveUp     context.CancelFunc
+	follower   *follow.Follower
+	started    time.Time
+	state      atomic.Uint32
+	mutex      sync.Mutex
+	last       map[string]lastCount
 }
 
 // Option sets one property of a Side.
@@ -86,6 +89,7 @@
 		started:     time.Now(),
 		last:        map[string]lastCount{},
 	}
+	s.superseded, s.giveUp = context.WithCancel(context.Background())
 	for _, o := range options {
 		o(s)
 	}
@@ -134,6 +138,7 @@
 	o := []peer.Option{
 		peer.WithSeeds(s.settings.Contacts...),
 		peer.OnHead(s.heard),
+		peer.OnSuperseded(s.giveUp),
 	}
 	if s.client == nil {
 		return append(o, peer.WithInsecure())
@@ -172,6 +177,8 @@
 	case <-drain.Done():
 		s.leave(kill)
 	case <-kill.Done():
+	case <-s.superseded.Done():
+		s.logger.Error().Msg("another process has taken this address")
 	}
 	stopPackets()
 	stopCalls()
