--- /dev/null
+++ b/internal/role/agent/datagram_test.go
@@ -0,0 +1,95 @@
+package agent_test
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/clementinewing/clementinewing/internal/edge/craft"
+	"github.com/clementinewing/clementinewing/internal/flow/owner"
+	"github.com/clementinewing/clementinewing/internal/role/agent"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+	"github.com/clementinewing/clementinewing/internal/world/pact"
+)
+
+// datagramKey is the flow of a caller to the datagram service, seen from the
+// service: craft.Datagram writes answers, so a question is one the other way.
+var datagramKey = link.Key{
+	Caller:     binary.BigEndian.Uint32([]byte{10, 1, 0, 9}),
+	Target:     binary.BigEndian.Uint32([]byte{10, 99, 0, 1}),
+	CallerPort: 20_000,
+	TargetPort: 53,
+	Protocol:   uint8(pact.UDP),
+}
+
+func question(text string) []byte {
+	k := datagramKey
+	k.Caller, k.Target = k.Target, k.Caller
+	k.CallerPort, k.TargetPort = k.TargetPort, k.CallerPort
+	return craft.Datagram(nil, k, []byte(text))
+}
+
+// echo answers each datagram with itself.
+func echo() netip.AddrPort {
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{
+		IP: net.IPv4(127, 0, 0, 1),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	go func() {
+		b := make([]byte, 2048)
+		for {
+			n, from, err := c.ReadFromUDPAddrPort(b)
+			if err != nil {
+				return
+			}
+			_, _ = c.WriteToUDPAddrPort(b[:n], from)
+		}
+	}()
+	return c.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+var _ = Describe("datagram service", func() {
+	It("carries questions and answers, and ends silent flows", func(ctx context.Context) {
+		b := newBench(context.WithoutCancel(ctx), 1, 0)
+		b.stops[0]()
+		table := owner.New(owner.WithIdentity(service, 1), owner.WithIdle(200*time.Millisecond))
+		a, err := agent.New(b.ring, table, agent.WithListen(b.list[0].Agent),
+			agent.WithUpstream(echo()), agent.WithFabric(b.fabric.AnswerAddress()), agent.WithIncarnation(1))
+		Expect(err).NotTo(HaveOccurred())
+		run(context.WithoutCancel(ctx), a.Run)
+		socket, err := net.ListenUDP("udp4", &net.UDPAddr{
+			IP: net.IPv4(127, 0, 0, 1),
+		})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(socket.Close)
+		answers := make(chan string, 100)
+		go func() {
+			in := make([]byte, 2048)
+			for {
+				n, err := socket.Read(in)
+				if err != nil {
+					return
+				}
+				p, err := link.Parse(in[:n])
+				if err == nil && p.Key.CallerPort == datagramKey.TargetPort {
+					answers <- string(in[n-p.Payload : n])
+				}
+			}
+		}()
+		for _, text := range []string{"sheet 1", "sheet 2"} {
+			Eventually(func() chan string {
+				_, err := socket.WriteToUDPAddrPort(question(text), b.fabric.CallerAddress())
+				Expect(err).NotTo(HaveOccurred())
+				return answers
+			}).WithTimeout(20*time.Second).WithPolling(50 * time.Millisecond).Should(Receive(Equal(text)))
+		}
+		Eventually(func() int { return a.Counts().Owner.Open }).WithTimeout(time.Minute).Should(BeZero())
+		Expect(a.Counts().Owner.Of(owner.IdleExpired)).To(BeNumerically(">", 0))
+	})
+})
