--- a/internal/trial/procs/fleet_test.go
+++ b/internal/trial/procs/fleet_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -29,7 +30,9 @@
 	agents    = 3
 	service   = "dienstplan"
 	common    = "region = oberbayern\ndomain = freising\n"
-	security  = "[keys]\n1 = 6b1f3c9a5d7e2048b6c1f0e3a492d5870f1e2d3c4b5a69788796a5b4c3d2e1f0\n[tls]\ninsecure = yes\n"
+	security  = "[tls]\ninsecure = yes\n[keys]\n"
+	firstKey  = "1 = 6b1f3c9a5d7e2048b6c1f0e3a492d5870f1e2d3c4b5a69788796a5b4c3d2e1f0\n"
+	secondKey = "2 = 0f1e2d3c4b5a69788796a5b4c3d2e1f06b1f3c9a5d7e2048b6c1f0e3a492d587\n"
 	patience  = time.Minute
 )
 
@@ -137,7 +140,7 @@
 		f.fabrics[name] = freeAddress()
 		f.status[name] = freeAddress()
 		path := f.write(name+".ini", fmt.Sprintf("[balancer]\nname = %s\n%sfabric = %s\ntunnel = %s\ncontrol = %s\nstatus = %s\ncontacts = %s\n[store]\naddress = %s\n%s",
-			name, common, f.fabrics[name], freeAddress(), controls[n], f.status[name], f.contacts, f.store, security))
+			name, common, f.fabrics[name], freeAddress(), controls[n], f.status[name], f.contacts, f.store, security+firstKey))
 		f.start(name, f.program, "balancer", "--settings", path)
 	}
 	f.spray()
@@ -158,7 +161,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(u.Kill)
 	path := f.write(name+".ini", fmt.Sprintf("[agent]\nname = %s\n%sfabric = %s\ntunnel = %s\ncontacts = %s\nservice = %s\nupstream = %s\n%s",
-		name, common, f.fabric.AnswerAddress(), freeAddress(), f.contacts, service, u.Address(), security))
+		name, common, f.fabric.AnswerAddress(), freeAddress(), f.contacts, service, u.Address(), security+firstKey))
 	f.start(name, f.program, "agent", "--settings", path)
 }
 
@@ -218,3 +221,19 @@
 	f.load.Go(func() { s.Requests(ctx, 1, 100) })
 	f.load.Go(func() { s.Feeds(ctx, 1, 9) })
 }
+
+// setKeys rewrites the keys of every balancer and side process and tells them.
+func (f *fleet) setKeys(keys string) {
+	for name, s := range f.sessions {
+		if name == "store" {
+			continue
+		}
+		path := filepath.Join(f.folder, name+".ini")
+		text, err := os.ReadFile(path)
+		Expect(err).NotTo(HaveOccurred())
+		kept, _, found := strings.Cut(string(text), "[keys]\n")
+		Expect(found).To(BeTrue())
+		f.write(name+".ini", kept+"[keys]\n"+keys)
+		s.Signal(syscall.SIGHUP)
+	}
+}
--- a/internal/trial/procs/procs_test.go
+++ b/internal/trial/procs/procs_test.go
@@ -73,6 +73,12 @@
 	case "died":
 		f.died.Store(step[1], true)
 		f.killed.Store(time.Now().UnixNano())
+	case "keys":
+		f.setKeys(map[string]string{
+			"both_seal_first":  firstKey + secondKey + "seal = 1\n",
+			"both_seal_second": firstKey + secondKey + "seal = 2\n",
+			"second":           secondKey,
+		}[step[1]])
 	case "restart":
 		f.restart(step[1])
 	case "broken":
