--- a/internal/role/agent/datagram_test.go
+++ b/internal/role/agent/datagram_test.go
@@ -87,7 +87,7 @@
 				_, err := socket.WriteToUDPAddrPort(question(text), b.fabric.CallerAddress())
 				Expect(err).NotTo(HaveOccurred())
 				return answers
-			}).WithTimeout(20*time.Second).WithPolling(50 * time.Millisecond).Should(Receive(Equal(text)))
+			}).WithTimeout(20 * time.Second).WithPolling(50 * time.Millisecond).Should(Receive(Equal(text)))
 		}
 		Eventually(func() int { return a.Counts().Owner.Open }).WithTimeout(time.Minute).Should(BeZero())
 		Expect(a.Counts().Owner.Of(owner.IdleExpired)).To(BeNumerically(">", 0))
--- a/internal/role/front/front.go
+++ b/internal/role/front/front.go
@@ -21,6 +21,7 @@
 	"github.com/clementinewing/clementinewing/internal/edge/follow"
 	"github.com/clementinewing/clementinewing/internal/edge/greet"
 	"github.com/clementinewing/clementinewing/internal/edge/keys"
+	"github.com/clementinewing/clementinewing/internal/edge/meter"
 	"github.com/clementinewing/clementinewing/internal/edge/peer"
 	"github.com/clementinewing/clementinewing/internal/edge/store"
 	"github.com/clementinewing/clementinewing/internal/fleet/member"
@@ -52,6 +53,7 @@
 	superseded context.Context
 	giveUp     context.CancelFunc
 	greeter    *greet.Greeter
+	tracker    *meter.Tracker
 	refusals   refusals
 	started    time.Time
 
@@ -98,6 +100,7 @@
 		logger:      zerolog.Nop(),
 		started:     time.Now(),
 		silent:      map[netip.AddrPort]bool{},
+		tracker:     meter.NewTracker(),
 	}
 	f.superseded, f.giveUp = context.WithCancel(context.Background())
 	for _, o := range options {
--- a/internal/role/front/state.go
+++ b/internal/role/front/state.go
@@ -57,10 +57,7 @@
 	}
 	counts := f.entry.Counts()
 	counts.Each(func(name string, value uint64) {
-		s.Reasons = append(s.Reasons, meter.Reason{
-			Name:  name,
-			Count: value,
-		})
+		s.Reasons = append(s.Reasons, f.tracker.Reason(name, value))
 	})
 	if h := f.follower.Held(); h != nil {
 		s.Revision = h.Revision()
--- a/internal/role/side/side.go
+++ b/internal/role/side/side.go
@@ -18,6 +18,7 @@
 	"github.com/clementinewing/clementinewing/internal/edge/follow"
 	"github.com/clementinewing/clementinewing/internal/edge/greet"
 	"github.com/clementinewing/clementinewing/internal/edge/keys"
+	"github.com/clementinewing/clementinewing/internal/edge/meter"
 	"github.com/clementinewing/clementinewing/internal/edge/peer"
 	"github.com/clementinewing/clementinewing/internal/edge/store"
 	"github.com/clementinewing/clementinewing/internal/flow/admit"
@@ -49,8 +50,7 @@
 	follower   *follow.Follower
 	started    time.Time
 	state      atomic.Uint32
-	mutex      sync.Mutex
-	last       map[string]lastCount
+	tracker    *meter.Tracker
 }
 
 // Option sets one property of a Side.
@@ -87,7 +87,7 @@
 		ring:        keys.NewRing(settings.Keys),
 		logger:      zerolog.Nop(),
 		started:     time.Now(),
-		last:        map[string]lastCount{},
+		tracker:     meter.NewTracker(),
 	}
 	s.superseded, s.giveUp = context.WithCancel(context.Background())
 	for _, o := range options {
--- a/internal/role/side/state.go
+++ b/internal/role/side/state.go
@@ -9,12 +9,6 @@
 	"github.com/clementinewing/clementinewing/internal/world/node"
 )
 
-// lastCount is a counter as it was seen last, and when it last rose.
-type lastCount struct {
-	value uint64
-	rose  time.Time
-}
-
 // Sample gives the counters for metrics.
 func (s *Side) Sample() meter.Sample {
 	c := s.agent.Counts()
@@ -103,28 +97,10 @@
 func (s *Side) reasons() (out []meter.Reason) {
 	c := s.agent.Counts()
 	for _, r := range owner.Reasons() {
-		out = append(out, s.reason(r.String(), c.Owner.Of(r)))
+		out = append(out, s.tracker.Reason(r.String(), c.Owner.Of(r)))
 	}
 	for _, f := range c.Faults {
-		out = append(out, s.reason(f.Name, f.Count))
+		out = append(out, s.tracker.Reason(f.Name, f.Count))
 	}
 	return out
 }
-
-func (s *Side) reason(name string, count uint64) meter.Reason {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	last := s.last[name]
-	if count != last.value {
-		last = lastCount{
-			value: count,
-			rose:  time.Now(),
-		}
-		s.last[name] = last
-	}
-	return meter.Reason{
-		Name:  name,
-		Count: count,
-		Last:  last.rose,
-	}
-}
