front: steer from the first moment, whatever /ready says

Cause: three trials of real processes failed and each took 23 s: 7.01 s for dozens of requests, which is three lost openings (1, 2 and 4 s), since a balancer that was started anew was given a third of the packets and dropped them until it knew the fleet, up to 10 s. Ruled out: openings kept too long at side processes, lost hints, machine load: the slow ones came with the restarted balancer in the fabric and only then. A wrong reset is kept off by the 5 s for which a packet must come in vain first. /ready stays for fabrics that ask.

--- a/internal/role/front/front.go
+++ b/internal/role/front/front.go
@@ -28,7 +28,7 @@
 
 const (
 	leaveTimeout    = 2 * time.Second
-	membersInterval = 200 * time.Millisecond
+	membersInterval = time.Second
 	balancerShare   = 100
 )
 
@@ -56,9 +56,6 @@
 	mutex     sync.Mutex
 	endpoints []node.Endpoint
 	silent    map[netip.AddrPort]bool
-	// ready is set once and stays: a balancer that loses sight of the fleet for a
-	// while goes on with what it learns.
-	ready bool
 }
 
 // Option sets one property of a Front.
--- a/internal/role/front/view.go
+++ b/internal/role/front/view.go
@@ -47,15 +47,12 @@
 }
 
 // rebuild steers by the file in force and the endpoints of now. A newcomer steers
-// nothing before it knows the fleet: packets that it drops are sent again, while an
-// owner that it did not know of would be passed over.
+// by what it knows at once, because the fabric may not wait for Ready: a flow whose
+// owner it does not know of is not reset before its packets have come in vain for
+// longer than the view of a newcomer takes.
 func (f *Front) rebuild() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.ready = f.ready || f.member.Ready()
-	if !f.ready {
-		return
-	}
 	f.entry.SetServices(route.Build(f.File(), f.endpoints))
 }
 
@@ -79,22 +76,11 @@
 	return h.File
 }
 
-// becomeReady lets a newcomer steer as soon as it knows the fleet.
-func (f *Front) becomeReady() {
-	f.mutex.Lock()
-	waits := !f.ready && f.member.Ready()
-	f.mutex.Unlock()
-	if waits {
-		f.rebuild()
-	}
-}
-
 // tellMembers tells the follower who else is in this failure domain.
 func (f *Front) tellMembers(ctx context.Context) {
 	ticker := time.NewTicker(membersInterval)
 	defer ticker.Stop()
 	for {
-		f.becomeReady()
 		names := []string{f.settings.Name}
 		for _, b := range f.member.Balancers() {
 			if b.Place == f.settings.Place {
