steer: rank nothing behind a cached owner

Cause: ranking was 40 % of a decision on a cached flow, for an order that is used only if the hint was wrong, and then every endpoint may be asked anyway.

--- a/internal/flow/steer/steer.go
+++ b/internal/flow/steer/steer.go
@@ -163,8 +163,12 @@
 // state plays no part: an endpoint that drains keeps the place that it had when
 // the flow was opened.
 func (s *Steerer) follow(now time.Time, g *group, hash uint64, d *Decision) {
-	d.Order = g.all.List(hash, d.Order)
 	brief, found := s.owners.touch(now, hash)
+	if found && len(g.endpoints) <= rank.MaxCandidates && slices.Contains(g.briefs, brief) {
+		d.Order = g.unranked(d.Order)
+	} else {
+		d.Order = g.all.List(hash, d.Order)
+	}
 	if found {
 		d.Order, d.Hinted = g.first(d.Order, brief)
 	}
@@ -175,6 +179,15 @@
 	}
 }
 
+// unranked lists every endpoint in no particular order. Behind a hinted owner the
+// others are asked only if the hint was wrong, and then all of them may be.
+func (g *group) unranked(order []int) []int {
+	for index := range g.endpoints {
+		order = append(order, index)
+	}
+	return order
+}
+
 // silentLast moves silent endpoints behind the others and keeps the order of each
 // part: a packet that is sent to a dead one is lost to the living owner behind it.
 func (g *group) silentLast(order []int) {
