agent: name the flows of an upstream what they are

There is one table of flows, so it is no shard; what is done about a decision has a file of its own, and a failed connection is told in one place.

--- /dev/null
+++ b/internal/role/agent/act.go
@@ -0,0 +1,107 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/edge/craft"
+	"github.com/clementinewing/clementinewing/internal/edge/wire"
+	"github.com/clementinewing/clementinewing/internal/flow/owner"
+	"github.com/clementinewing/clementinewing/internal/flow/probe"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+)
+
+func (a *Agent) step(e owner.Event, m *wire.Message) {
+	s := a.flows
+	s.mutex.Lock()
+	actions := s.table.Step(time.Now(), e, nil)
+	for _, c := range actions {
+		s.note(c, m)
+	}
+	s.mutex.Unlock()
+	for _, c := range actions {
+		a.perform(s, c, m)
+	}
+}
+
+func (a *Agent) perform(s *flows, c owner.Action, m *wire.Message) {
+	switch c := c.(type) {
+	case owner.Connect:
+		a.connect(s, c)
+	case owner.Accept:
+		a.accept(s, c.Key)
+	case owner.Deliver:
+		a.deliver(s, c.Key, m)
+	case owner.Pass:
+		a.pass(s, c, m)
+	case owner.Refuse:
+		a.reset(s.opening(c.Key, c.Serial, m))
+	case owner.Reset:
+		a.reset(m)
+	case owner.Drop:
+	case owner.Hint:
+		a.hint(s, c, m)
+	case owner.Abort:
+		a.abort(s, c)
+	case owner.Emptied:
+		close(a.emptied)
+	}
+}
+
+func (a *Agent) deliver(s *flows, k link.Key, m *wire.Message) {
+	if isDatagram(k) {
+		a.deliverDatagram(s.flow(k), m.Inner)
+		return
+	}
+	a.stack.Inject(m.Inner)
+}
+
+func (a *Agent) pass(s *flows, c owner.Pass, m *wire.Message) {
+	m = s.opening(c.Key, c.Serial, m)
+	if m == nil || c.Position >= len(m.Candidates) {
+		return
+	}
+	m.Position = uint8(c.Position)
+	m.Denied = c.Denied
+	m.Round = c.Round
+	next := m.Candidates[c.Position].Agent
+	if c.Relay && m.Balancer.IsValid() {
+		s.send(a.tunnel, m, m.Balancer)
+		return
+	}
+	s.send(a.link(next), m, next)
+	a.stepPeers(probe.Sent{
+		Peer: next,
+	})
+}
+
+func (a *Agent) reset(m *wire.Message) {
+	if m == nil {
+		return
+	}
+	p, err := link.Parse(m.Inner)
+	if err != nil || p.IsReset() || isDatagram(p.Key) {
+		return
+	}
+	_, _ = a.tunnel.WriteToUDPAddrPort(craft.Reset(nil, p), a.fabric)
+}
+
+func (a *Agent) hint(s *flows, c owner.Hint, m *wire.Message) {
+	if m == nil {
+		m = s.kept(c.Key)
+	}
+	if m == nil {
+		return
+	}
+	s.send(a.tunnel, &wire.Message{
+		Kind:     wire.Hint,
+		Service:  m.Service,
+		Balancer: c.Balancer,
+		Candidates: []wire.Candidate{
+			{
+				Agent:       a.Address(),
+				Incarnation: a.incarnation,
+			},
+		},
+		Inner: m.Inner[:min(len(m.Inner), hintBytes)],
+	}, c.Balancer)
+}
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -40,7 +40,7 @@
 	tunnel      *net.UDPConn
 	stack       *stack.Stack
 	senders     *wire.Senders
-	flows       *shard
+	flows       *flows
 	peers       *peers
 	counts      counts
 	emptied     chan struct{}
@@ -103,7 +103,7 @@
 		idle:    defaultKeepalive,
 		senders: wire.NewSenders(0),
 		peers:   newPeers(),
-		flows:   newShard(table, wire.NewSealer(ring)),
+		flows:   newFlows(table, wire.NewSealer(ring)),
 		emptied: make(chan struct{}),
 		stopped: make(chan struct{}),
 	}
--- a/internal/role/agent/conn.go
+++ b/internal/role/agent/conn.go
@@ -24,7 +24,7 @@
 )
 
 // connect asks the upstream for a connection before the caller gets one.
-func (a *Agent) connect(s *shard, c owner.Connect) {
+func (a *Agent) connect(s *flows, c owner.Connect) {
 	if isDatagram(c.Key) {
 		a.connectDatagrams(s, c)
 		return
@@ -32,11 +32,7 @@
 	a.closing.Go(func() {
 		upstream, err := a.dial()
 		if err != nil {
-			a.step(owner.Failed{
-				Key:    c.Key,
-				Serial: c.Serial,
-				Reason: owner.ConnectFailed,
-			}, nil)
+			a.failed(c)
 			return
 		}
 		if !s.hold(c, upstream) {
@@ -47,6 +43,15 @@
 	})
 }
 
+// failed tells the decisions that the upstream took no connection.
+func (a *Agent) failed(c owner.Connect) {
+	a.step(owner.Failed{
+		Key:    c.Key,
+		Serial: c.Serial,
+		Reason: owner.ConnectFailed,
+	}, nil)
+}
+
 func (a *Agent) dial() (c *net.TCPConn, err error) {
 	d := net.Dialer{
 		Timeout: connectTimeout,
@@ -55,10 +60,10 @@
 }
 
 // hold keeps the upstream's connection with its flow, if that is still there.
-func (s *shard) hold(c owner.Connect, upstream *net.TCPConn) bool {
+func (s *flows) hold(c owner.Connect, upstream *net.TCPConn) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	f := s.flows[c.Key]
+	f := s.byKey[c.Key]
 	if f == nil || f.serial != c.Serial || f.aborted {
 		return false
 	}
@@ -67,7 +72,7 @@
 }
 
 // accept gives the kept opening to the stack, which answers through opened.
-func (a *Agent) accept(s *shard, k link.Key) {
+func (a *Agent) accept(s *flows, k link.Key) {
 	f := s.flow(k)
 	if f == nil || f.opening == nil {
 		return
@@ -108,7 +113,7 @@
 }
 
 // open notes that the handshake of a flow is complete.
-func (s *shard) open(f *flow, c *stack.Conn) bool {
+func (s *flows) open(f *flow, c *stack.Conn) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if f.aborted {
@@ -119,7 +124,7 @@
 	return true
 }
 
-func (a *Agent) end(s *shard, f *flow) {
+func (a *Agent) end(s *flows, f *flow) {
 	s.forget(f)
 	a.step(owner.Ended{
 		Key:    f.key,
@@ -188,7 +193,7 @@
 }
 
 // abort cuts one flow from both of its ends.
-func (a *Agent) abort(s *shard, c owner.Abort) {
+func (a *Agent) abort(s *flows, c owner.Abort) {
 	f := s.flow(c.Key)
 	if f == nil || (c.Serial != 0 && f.serial != c.Serial) {
 		return
@@ -198,7 +203,7 @@
 
 // cut marks a flow as given up and resets what it has of connections. A
 // handshake under way is ended inside the stack, without a word to the caller.
-func (a *Agent) cut(s *shard, f *flow) {
+func (a *Agent) cut(s *flows, f *flow) {
 	s.mutex.Lock()
 	f.aborted = true
 	opening := f.opening
--- a/internal/role/agent/datagram.go
+++ b/internal/role/agent/datagram.go
@@ -21,15 +21,11 @@
 
 // connectDatagrams opens the socket of a datagram flow. Nothing is asked of the
 // upstream yet, so there is no wait.
-func (a *Agent) connectDatagrams(s *shard, c owner.Connect) {
+func (a *Agent) connectDatagrams(s *flows, c owner.Connect) {
 	d := net.Dialer{}
 	upstream, err := d.DialUDP(context.Background(), "udp4", netip.AddrPort{}, a.upstream)
 	if err != nil {
-		a.step(owner.Failed{
-			Key:    c.Key,
-			Serial: c.Serial,
-			Reason: owner.ConnectFailed,
-		}, nil)
+		a.failed(c)
 		return
 	}
 	if !s.holdDatagrams(c, upstream) {
@@ -39,10 +35,10 @@
 	a.step(owner.Connected(c), nil)
 }
 
-func (s *shard) holdDatagrams(c owner.Connect, upstream *net.UDPConn) bool {
+func (s *flows) holdDatagrams(c owner.Connect, upstream *net.UDPConn) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	f := s.flows[c.Key]
+	f := s.byKey[c.Key]
 	if f == nil || f.serial != c.Serial || f.aborted {
 		return false
 	}
@@ -52,7 +48,7 @@
 
 // acceptDatagrams gives the upstream the datagram that opened the flow and
 // carries its answers from now on.
-func (a *Agent) acceptDatagrams(s *shard, f *flow) {
+func (a *Agent) acceptDatagrams(s *flows, f *flow) {
 	a.deliverDatagram(f, f.opening.Inner)
 	a.closing.Go(func() {
 		a.carryDatagrams(f)
