--- a/internal/demo/score/score.go
+++ b/internal/demo/score/score.go
@@ -35,7 +35,7 @@
 	BrokenPlanned int            `json:"broken_planned"`
 	BrokenByDeath int            `json:"broken_by_dead_upstream"`
 	Refused       int            `json:"refused"`
-	Reasons       []ReasonCount  `json:"refused_by_reason"`
+	Reasons       []ReasonCount  `json:"reasons"`
 	Doubled       int            `json:"doubled"`
 	Misrouted     int            `json:"misrouted"`
 	FalseNotRun   int            `json:"false_not_run"`
@@ -48,7 +48,8 @@
 	Kept     bool     `json:"promises_kept"`
 }
 
-// ReasonCount is how often side processes refused for one reason.
+// ReasonCount is how often side processes refused, handed on or dropped a packet for
+// one reason.
 type ReasonCount struct {
 	Reason string `json:"reason"`
 	Count  uint64 `json:"count"`
@@ -152,6 +153,7 @@
 	fmt.Fprintf(w, "broken by planned change\t%d\tmust be 0\n", l.BrokenPlanned)
 	fmt.Fprintf(w, "broken by their dead upstream\t%d\n", l.BrokenByDeath)
 	fmt.Fprintf(w, "refused, not run\t%d\n", l.Refused)
+	fmt.Fprintf(w, "packets refused, handed on or dropped\t\n")
 	for _, r := range l.Reasons {
 		fmt.Fprintf(w, "  %s\t%d\n", r.Reason, r.Count)
 	}
