stack, link, certs, meet: drop what nothing calls

Cause: four pieces outlived the first thin path: Opening.Refuse (side processes refuse before the stack sees an opening), Packet.IsAnswer (every packet of the stack is stepped now), Authority.Write, and meet.Directory (edge/greet drives the machine over the store itself). No test or check changed.

--- a/internal/edge/stack/conn.go
+++ b/internal/edge/stack/conn.go
@@ -24,8 +24,8 @@
 	keepaliveProbes   = 3
 )
 
-// Opening is an opening packet that waits for an answer. Exactly one of Accept,
-// Refuse and Drop must be called.
+// Opening is an opening packet that waits for an answer. Exactly one of Accept
+// and Drop must be called.
 type Opening struct {
 	Key     link.Key
 	request *tcp.ForwarderRequest
@@ -63,11 +63,6 @@
 	}, nil
 }
 
-// Refuse answers the opening with a reset.
-func (o *Opening) Refuse() {
-	o.request.Complete(true)
-}
-
 // Drop forgets the opening without an answer.
 func (o *Opening) Drop() {
 	o.request.Complete(false)
--- a/internal/fake/certs/certs.go
+++ b/internal/fake/certs/certs.go
@@ -11,10 +11,7 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
-	"errors"
 	"math/big"
-	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -25,7 +22,6 @@
 const (
 	validFor   = 24 * time.Hour
 	serialBits = 120
-	secretMode = 0o600
 )
 
 // Authority signs certificates.
@@ -98,22 +94,6 @@
 	return tls.X509KeyPair(p.Certificate, p.Key)
 }
 
-// Write puts authority.pem, certificate.pem and key.pem into a directory.
-func (a *Authority) Write(directory string, p Pair) (f trust.Files, err error) {
-	defer func() { err = eris.Wrap(err, "writing certificates") }()
-	f = trust.Files{
-		Certificate: filepath.Join(directory, "certificate.pem"),
-		Key:         filepath.Join(directory, "key.pem"),
-		Authority:   filepath.Join(directory, "authority.pem"),
-	}
-	err = errors.Join(
-		os.WriteFile(f.Certificate, p.Certificate, secretMode),
-		os.WriteFile(f.Key, p.Key, secretMode),
-		os.WriteFile(f.Authority, a.PEM, secretMode),
-	)
-	return f, err
-}
-
 func fill(name string) (*x509.Certificate, error) {
 	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
 	if err != nil {
--- a/internal/fleet/meet/meet.go
+++ b/internal/fleet/meet/meet.go
@@ -37,15 +37,6 @@
 	Expires time.Time      `json:"expires"`
 }
 
-// Directory is the part of the store that first contacts are kept in: one value,
-// changed by compare-and-swap.
-type Directory interface {
-	// Read gives all entries and the version to write with.
-	Read() (entries []Entry, version uint64, err error)
-	// Write replaces all entries if the version is still the one read.
-	Write(entries []Entry, version uint64) error
-}
-
 // Meet is the state machine of a node's first contacts. It is not safe for
 // concurrent use.
 type Meet struct {
--- a/internal/world/link/packet.go
+++ b/internal/world/link/packet.go
@@ -165,8 +165,3 @@
 	}
 	return length
 }
-
-// IsAnswer tells whether the packet is the second one of a TCP handshake.
-func (p Packet) IsAnswer() bool {
-	return p.Flags&(flagSyn|flagAck) == flagSyn|flagAck
-}
