--- /dev/null
+++ b/cmd/cwnode/agent.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/clementinewing/clementinewing/internal/conf/relay"
+	"github.com/clementinewing/clementinewing/internal/relay/agent"
+	"github.com/clementinewing/clementinewing/platform"
+)
+
+func agentCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "agent",
+		Usage: "hand packets to the endpoint on this VM, or on to others",
+		Description: "SIGTERM: new flows are handed on, requests in hand are waited for.\n" +
+			"SIGHUP: the settings are read and checked again.",
+		Flags: []cli.Flag{
+			settingsFlag(),
+		},
+		Action: runAgent,
+	}
+}
+
+func runAgent(ctx context.Context, c *cli.Command) error {
+	path := c.String(settingsName)
+	s, err := relay.ReadAgent(path)
+	if err != nil {
+		return err
+	}
+	l := newLogs("agent", s)
+	defer closeLogs(l)
+	a, err := agent.New(
+		s,
+		agent.WithLogs(l),
+		agent.WithPlatform(platform.Packets{
+			CallerPort: s.Callers.Port(),
+		}, platform.NewStore(s.Store), platform.Reports(s.Upstream.String())),
+	)
+	if err != nil {
+		return err
+	}
+	stop, end := stopSignal(ctx)
+	defer end()
+	go onHangup(stop, l, func() error {
+		_, err := relay.ReadAgent(path)
+		return err
+	})
+	return a.Run(stop)
+}
--- /dev/null
+++ b/cmd/cwnode/balancer.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/clementinewing/clementinewing/internal/conf/relay"
+	"github.com/clementinewing/clementinewing/internal/relay/entry"
+	"github.com/clementinewing/clementinewing/platform"
+)
+
+func balancerCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "balancer",
+		Usage: "carry packets of callers to side processes",
+		Description: "SIGTERM: not ready any more, packets are carried until they cease.\n" +
+			"SIGHUP: the settings are read and checked again.",
+		Flags: []cli.Flag{
+			settingsFlag(),
+		},
+		Action: runBalancer,
+	}
+}
+
+func runBalancer(ctx context.Context, c *cli.Command) error {
+	path := c.String(settingsName)
+	s, err := relay.ReadBalancer(path)
+	if err != nil {
+		return err
+	}
+	l := newLogs("balancer", s)
+	defer closeLogs(l)
+	b, err := entry.New(
+		s,
+		entry.WithLogs(l),
+		entry.WithPlatform(platform.Packets{
+			CallerPort: s.Callers.Port(),
+		}, platform.NewStore(s.Store), platform.ReadPlan),
+	)
+	if err != nil {
+		return err
+	}
+	stop, end := stopSignal(ctx)
+	defer end()
+	go onHangup(stop, l, func() error {
+		_, err := relay.ReadBalancer(path)
+		return err
+	})
+	return b.Run(stop)
+}
--- /dev/null
+++ b/internal/conf/relay/relay.go
@@ -0,0 +1,132 @@
+// Package relay reads the settings of the processes that carry packets to
+// upstreams which end the flows themselves.
+package relay
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/clementinewing/clementinewing/internal/conf/lines"
+)
+
+// Settings are those of a balancer or an agent; what a role does not use is zero.
+type Settings struct {
+	Name       string
+	Zone       string
+	FirstStart bool
+	Address    netip.Addr
+	// InnerPort is the port of every process for datagrams (UDP) and plans (TCP)
+	// of other processes.
+	InnerPort uint16
+	// Callers is where callers' packets arrive; its port is also where packets
+	// to callers are sent.
+	Callers  netip.AddrPort
+	Outbound netip.AddrPort
+	Ready    netip.AddrPort
+	Control  netip.AddrPort
+	Metrics  netip.AddrPort
+	Seeds    []netip.AddrPort
+	Service  string
+	Upstream netip.AddrPort
+	Store    netip.AddrPort
+	// Grace is how long a process may go on after SIGTERM.
+	Grace time.Duration
+}
+
+const (
+	roleBalancer = "balancer"
+	roleAgent    = "agent"
+
+	wordTrue  = "true"
+	wordFalse = "false"
+
+	graceMost = 3600
+)
+
+// ReadBalancer reads the settings of a balancer.
+func ReadBalancer(path string) (Settings, error) {
+	return read(path, roleBalancer)
+}
+
+// ReadAgent reads the settings of an agent.
+func ReadAgent(path string) (Settings, error) {
+	return read(path, roleAgent)
+}
+
+func read(path, role string) (s Settings, err error) {
+	defer func() { err = eris.Wrap(err, "settings") }()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return s, err
+	}
+	return Parse(path, string(text), role)
+}
+
+// Parse reads the text of a settings file; path names it in faults. Every fault
+// is told at once, and none of a faulty file is used.
+func Parse(path, text, role string) (s Settings, err error) {
+	d, err := lines.Load(path, text, lines.OneOf("process", "listen", "endpoint", "fleet", "store"))
+	if err != nil {
+		return s, err
+	}
+	readProcess(d.Section("process"), &s)
+	readListen(d.Section("listen"), &s, role)
+	s.Seeds = d.Optional("fleet").Addresses("seeds")
+	s.Store = d.Section("store").Address("address")
+	if role == roleAgent {
+		e := d.Section("endpoint")
+		s.Service, _ = e.Required("service", "the name of a service")
+		s.Upstream = e.Address("address")
+	}
+	if err = d.Err(); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+func readProcess(p *lines.Section, s *Settings) {
+	s.Name, _ = p.Required("name", "the name of the process")
+	s.Zone, _ = p.Required("zone", "the name of a failure domain")
+	s.FirstStart = p.Choice("first_start", wordFalse, wordTrue) == wordTrue
+	grace := p.Number("grace_seconds", lines.Limits{
+		Required: true,
+		Least:    1,
+		Most:     graceMost,
+	})
+	s.Grace = time.Duration(grace) * time.Second
+	s.Address = address(p, "address")
+}
+
+func readListen(l *lines.Section, s *Settings, role string) {
+	s.InnerPort = uint16(l.Number("inner_port", lines.Limits{
+		Required: true,
+		Least:    1,
+		Most:     65535,
+	}))
+	s.Callers = l.Address("callers")
+	s.Ready = l.Address("ready")
+	s.Control = l.OptionalAddress("control")
+	s.Metrics = l.OptionalAddress("metrics")
+	if role == roleAgent {
+		s.Outbound = l.Address("outbound")
+		s.Control = l.Address("control")
+	}
+}
+
+// address reads a required IPv4 address without a port.
+func address(p *lines.Section, key string) netip.Addr {
+	const allowed = "an IPv4 address"
+	text, ok := p.Required(key, allowed)
+	if !ok {
+		return netip.Addr{}
+	}
+	a, err := netip.ParseAddr(text)
+	if err != nil || !a.Is4() {
+		p.Bad(key, text, allowed)
+		return netip.Addr{}
+	}
+	return a
+}
--- /dev/null
+++ b/internal/relay/agent/serve.go
@@ -0,0 +1,135 @@
+package agent
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/relay/hold"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+)
+
+// headerTimeout is how long a client may take over the head of a request.
+const headerTimeout = 5 * time.Second
+
+// serve takes the endpoint's reports and answers whether the process is ready.
+func (a *Agent) serve() (closers []io.Closer, err error) {
+	for _, l := range []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{
+			address: a.settings.Ready,
+			handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+		},
+		{
+			address: a.settings.Control,
+			handler: a.reports(a),
+		},
+	} {
+		listener, err := net.Listen("tcp4", l.address.String())
+		if err != nil {
+			return closers, err
+		}
+		server := &http.Server{
+			Handler:           l.handler,
+			ReadHeaderTimeout: headerTimeout,
+		}
+		closers = append(closers, server)
+		go func() { _ = server.Serve(listener) }()
+	}
+	return closers, nil
+}
+
+// Report takes what the endpoint says of itself.
+func (a *Agent) Report(r hold.Report) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.counts.reports++
+	a.act(a.hold.Step(time.Now(), hold.Reported{
+		Report: r,
+	}))
+}
+
+// Left takes the endpoint's last word.
+func (a *Agent) Left(id string) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.act(a.hold.Step(time.Now(), hold.Left{
+		ID: id,
+	}))
+}
+
+// Malformed notes a report that cannot be read.
+func (a *Agent) Malformed(err error) {
+	a.log.Trouble.Warn().Err(err).Msg("report of an endpoint ignored")
+}
+
+// counts are the counters of an agent.
+type counts struct {
+	arrived       uint64
+	accepted      uint64
+	requests      uint64
+	reports       uint64
+	malformed     uint64
+	sendErrors    uint64
+	storeCalls    uint64
+	storeFailures uint64
+	handedOn      [reasons]uint64
+	givenBack     [reasons]uint64
+	refused       [reasons]uint64
+}
+
+// reasons is room for every hold.Reason.
+const reasons = 32
+
+func (a *Agent) logHandOn(h hold.HandOn) {
+	a.log.Trouble.Info().
+		Str("flow", h.Key.String()).
+		Bool("opening", h.Kind == link.Opening).
+		Str("why", h.Why.String()).
+		Str("to", h.To.String()).
+		Uint8("position", h.Carry.Position).
+		Int("candidates", len(h.Carry.List)).
+		Int("in_use", a.hold.InUse()).
+		Msg("packet handed on")
+}
+
+func (a *Agent) logGiveBack(g hold.GiveBack) {
+	a.log.Trouble.Info().
+		Str("flow", g.Key.String()).
+		Str("why", g.Why.String()).
+		Str("to", g.To.String()).
+		Bool("sure", g.Stray.Sure).
+		Bool("walked", g.Stray.Walked).
+		Msg("packet given back")
+}
+
+func (a *Agent) logRefuse(r hold.Refuse) {
+	a.log.Trouble.Info().
+		Str("flow", r.Packet.Key.String()).
+		Str("why", r.Why.String()).
+		Int("in_use", a.hold.InUse()).
+		Msg("opening refused")
+}
+
+func (a *Agent) logAccepted(x hold.Accepted) {
+	a.log.Routine.Info().
+		Str("flow", x.Key.String()).
+		Int("in_use", x.InUse).
+		Int("slots", x.Slots).
+		Bool("queued", x.Queued).
+		Int64("after_us", x.After.Microseconds()).
+		Msg("opening accepted")
+}
+
+func (a *Agent) logChanged(c hold.Changed) {
+	a.log.Trouble.Info().
+		Str("state", c.State.String()).
+		Str("why", c.Why.String()).
+		Int("in_use", a.hold.InUse()).
+		Int("flows", a.hold.Flows()).
+		Msg("endpoint changed")
+}
--- /dev/null
+++ b/internal/relay/entry/serve.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/relay/guide"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+)
+
+// headerTimeout is how long a client may take over the head of a request.
+const headerTimeout = 5 * time.Second
+
+// serve answers whether the balancer is ready, and gives its plan to others.
+func (b *Balancer) serve() (closers []io.Closer, err error) {
+	inner := http.NewServeMux()
+	inner.HandleFunc(planPath, b.servePlan)
+	for _, l := range []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{
+			address: b.settings.Ready,
+			handler: http.HandlerFunc(b.serveReady),
+		},
+		{
+			address: netip.AddrPortFrom(b.settings.Address, b.settings.InnerPort),
+			handler: inner,
+		},
+	} {
+		listener, err := net.Listen("tcp4", l.address.String())
+		if err != nil {
+			return closers, err
+		}
+		server := &http.Server{
+			Handler:           l.handler,
+			ReadHeaderTimeout: headerTimeout,
+		}
+		closers = append(closers, server)
+		go func() { _ = server.Serve(listener) }()
+	}
+	return closers, nil
+}
+
+func (b *Balancer) serveReady(w http.ResponseWriter, _ *http.Request) {
+	b.mutex.Lock()
+	ready := b.ready && !b.leaving
+	b.mutex.Unlock()
+	if !ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (b *Balancer) servePlan(w http.ResponseWriter, _ *http.Request) {
+	p := b.held.Current()
+	if p == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set(revisionHeader, strconv.FormatUint(p.Revision, 10))
+	if _, err := w.Write(p.Raw); err != nil {
+		b.log.Trouble.Warn().Err(err).Msg("giving the plan to a balancer failed")
+	}
+}
+
+// counts are the counters of a balancer.
+type counts struct {
+	packets       uint64
+	malformed     uint64
+	sendErrors    uint64
+	storeCalls    uint64
+	storeFailures uint64
+	sent          [reasons]uint64
+	refused       [reasons]uint64
+	resets        [reasons]uint64
+	dropped       [reasons]uint64
+}
+
+// reasons is room for every guide.Reason.
+const reasons = 32
+
+func (b *Balancer) logSend(a guide.Send) {
+	if a.Why == guide.ToOwner {
+		return
+	}
+	event := b.log.Routine.Info()
+	if a.Why != guide.Placed {
+		event = b.log.Trouble.Info()
+	}
+	event.
+		Str("flow", a.Key.String()).
+		Str("why", a.Why.String()).
+		Str("to", a.To.String()).
+		Int("candidates", len(a.Carry.List)).
+		Uint64("plan_revision", b.held.Revision()).
+		Msg("packet sent on")
+}
+
+func (b *Balancer) logEnd(what string, p link.Packet, why guide.Reason) {
+	b.log.Trouble.Info().
+		Str("flow", p.Key.String()).
+		Str("why", why.String()).
+		Uint32("sequence", p.Sequence).
+		Int("bytes", p.Payload).
+		Uint64("plan_revision", b.held.Revision()).
+		Int("side_processes", len(b.members.Sides())).
+		Msg(what)
+}
--- /dev/null
+++ b/internal/relay/guide/guide.go
@@ -0,0 +1,484 @@
+// Package guide is a balancer's decision on each packet of a caller, on platforms
+// whose upstreams end the flows: to which side process it goes, along which list
+// of others, or that its flow is refused or reset. It is a pure state machine:
+// Step takes an event and gives actions.
+//
+// Owners of flows are soft state. Losing any of it costs a lookup and never a
+// flow: an unknown owner is found by asking the endpoints of the service in turn.
+package guide
+
+import (
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/relay/place"
+	"github.com/clementinewing/clementinewing/internal/relay/plan"
+	"github.com/clementinewing/clementinewing/internal/relay/roster"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+	"github.com/clementinewing/clementinewing/internal/world/pact"
+)
+
+const (
+	// answerWithin is how long an opening may go without word of an owner until
+	// it is given to the next candidate. A walk over all candidates of an
+	// opening takes under 20 ms between failure domains.
+	answerWithin = 60 * time.Millisecond
+	// mostResends bounds the copies of one opening that the balancer makes.
+	mostResends = 4
+	// openingKeep is how long an opening without an owner is remembered: past
+	// the last copy that a caller sends.
+	openingKeep = 3 * time.Second
+	// ownerKeep is how long an owner is kept after the flow's last packet. Flows
+	// idle for longer may be discarded.
+	ownerKeep = 30 * time.Second
+	// deniedFor is how long every endpoint has to deny a flow until it is reset,
+	// so that a member that is not known yet can be heard of meanwhile: two
+	// reports and their delay, and two retransmissions of the caller.
+	deniedFor = 700 * time.Millisecond
+	// startGrace is how long a balancer that knows no endpoint leaves openings
+	// unanswered instead of refusing them; the caller's copies come meanwhile.
+	startGrace = 1300 * time.Millisecond
+	// mostFlows bounds the flows remembered, about 300 bytes each.
+	mostFlows = 60_000
+)
+
+// Event is Packet, Hint, Return or Tick.
+type Event interface{ event() }
+
+// Packet is a caller's packet; Raw is kept by no one after Step.
+type Packet struct {
+	link.Packet
+	Raw []byte
+}
+
+// Hint is word of an owner.
+type Hint struct {
+	frame.Owner
+}
+
+// Return is a packet that found no owner.
+type Return struct {
+	link.Packet
+	frame.Stray
+}
+
+// Tick is due at least every 20 ms while openings wait.
+type Tick struct{}
+
+func (Packet) event() {}
+func (Hint) event()   {}
+func (Return) event() {}
+func (Tick) event()   {}
+
+// Action is Send, Refuse, Reset or Drop.
+type Action interface{ action() }
+
+// Send gives a packet to a side process.
+type Send struct {
+	To    frame.Host
+	Carry *frame.Carry
+	Key   link.Key
+	Kind  link.Kind
+	Why   Reason
+}
+
+// Refuse answers an opening with a reset: nothing was run.
+type Refuse struct {
+	Packet link.Packet
+	Why    Reason
+}
+
+// Reset ends a flow that no endpoint holds.
+type Reset struct {
+	Packet link.Packet
+	Why    Reason
+}
+
+// Drop leaves a packet unanswered.
+type Drop struct {
+	Packet link.Packet
+	Why    Reason
+}
+
+func (Send) action()   {}
+func (Refuse) action() {}
+func (Reset) action()  {}
+func (Drop) action()   {}
+
+// entry is what is remembered of one flow.
+type entry struct {
+	// owners are those that answered the opening, the latest first.
+	owners [2]owner
+	// sequence is the caller's first sequence number, if the opening came here.
+	sequence uint32
+	service  pact.ServiceID
+	keep     time.Time
+	opening  *opening
+	// deniedAt is since when every endpoint denies the flow.
+	deniedAt time.Time
+}
+
+type owner struct {
+	host    frame.Host
+	initial uint32
+	known   bool
+}
+
+// opening is a new flow that waits for its owner.
+type opening struct {
+	key    link.Key
+	packet link.Packet
+	raw    []byte
+	list   []frame.Host
+	home   frame.Host
+	sentAt time.Time
+	due    time.Time
+	tries  int
+}
+
+// Guide decides for one balancer. Calls are made by one goroutine at a time.
+type Guide struct {
+	self    frame.Host
+	zone    uint64
+	started time.Time
+	members *roster.Roster
+	held    *plan.Held
+	flows   map[link.Key]*entry
+	waiting []*opening
+	sweepAt time.Time
+	out     []Action
+}
+
+// New makes a guide; started is when the balancer did.
+func New(self frame.Host, zone uint64, started time.Time, members *roster.Roster, held *plan.Held) *Guide {
+	return &Guide{
+		self:    self,
+		zone:    zone,
+		started: started,
+		members: members,
+		held:    held,
+		flows:   map[link.Key]*entry{},
+	}
+}
+
+// Flows is how many flows are remembered.
+func (g *Guide) Flows() int {
+	return len(g.flows)
+}
+
+// Waiting tells whether openings wait for their owners.
+func (g *Guide) Waiting() bool {
+	return len(g.waiting) > 0
+}
+
+// Step takes one event. The actions are valid until the next Step.
+func (g *Guide) Step(now time.Time, e Event) []Action {
+	g.out = g.out[:0]
+	switch e := e.(type) {
+	case Packet:
+		g.packet(now, e)
+	case Hint:
+		g.hint(now, e.Owner)
+	case Return:
+		g.returned(now, e)
+	case Tick:
+		g.tick(now)
+	}
+	return g.out
+}
+
+func (g *Guide) add(a Action) {
+	g.out = append(g.out, a)
+}
+
+func (g *Guide) packet(now time.Time, p Packet) {
+	if p.Kind == link.Opening {
+		g.open(now, p)
+		return
+	}
+	x, ok := g.flows[p.Key]
+	if !ok {
+		g.lookup(now, p.Packet, p.Raw, 0, false)
+		return
+	}
+	x.keep = now.Add(ownerKeep)
+	if p.IsReset() {
+		delete(g.flows, p.Key)
+	}
+	if x.opening != nil && p.HasAck() {
+		x.opening = nil
+	}
+	host := x.ownerOf(p.Packet)
+	if host == 0 {
+		g.lookup(now, p.Packet, p.Raw, 0, false)
+		return
+	}
+	g.add(Send{
+		To:   host,
+		Key:  p.Key,
+		Kind: p.Kind,
+		Why:  ToOwner,
+		Carry: &frame.Carry{
+			Flags:    frame.Cached,
+			Best:     frame.NoBest,
+			Service:  x.service,
+			Balancer: g.self,
+			List:     []frame.Host{host},
+			Packet:   p.Raw,
+		},
+	})
+}
+
+// ownerOf picks the owner whose first sequence number the packet acknowledges,
+// where two endpoints answered the same opening.
+func (x *entry) ownerOf(p link.Packet) frame.Host {
+	a, b := x.owners[0], x.owners[1]
+	if a.host == 0 || b.host == 0 || !p.HasAck() || !a.known || !b.known {
+		return a.host
+	}
+	if p.Acknowledgment-b.initial < p.Acknowledgment-a.initial {
+		return b.host
+	}
+	return a.host
+}
+
+func (g *Guide) lookup(now time.Time, p link.Packet, raw []byte, denier frame.Host, sure bool) {
+	current := g.held.Current()
+	if current == nil {
+		g.add(Drop{
+			Packet: p,
+			Why:    NoPlan,
+		})
+		return
+	}
+	route, ok := current.Routes[plan.TargetOf(p.Key)]
+	if !ok {
+		g.endUnrouted(p)
+		return
+	}
+	list, settled := g.ownersOf(now, p.Key, route)
+	list = withoutHost(list, denier, sure)
+	if len(list) == 0 {
+		g.add(Drop{
+			Packet: p,
+			Why:    NoEndpoint,
+		})
+		return
+	}
+	flags := uint8(0)
+	if settled && (denier == 0 || sure) {
+		flags |= frame.Settled
+	}
+	g.add(Send{
+		To:   list[0],
+		Key:  p.Key,
+		Kind: p.Kind,
+		Why:  Lookup,
+		Carry: &frame.Carry{
+			Flags:    flags,
+			Best:     frame.NoBest,
+			Service:  route.Choose(p.Key.Hash()),
+			Balancer: g.self,
+			Home:     list[0],
+			List:     list,
+			Packet:   raw,
+		},
+	})
+}
+
+// endUnrouted answers a packet of a flow whose target has no route. A caller that
+// waits for an answer is told; a bare acknowledgment asks for nothing.
+func (g *Guide) endUnrouted(p link.Packet) {
+	if p.Payload == 0 || p.IsReset() {
+		g.add(Drop{
+			Packet: p,
+			Why:    NoRoute,
+		})
+		return
+	}
+	g.add(Reset{
+		Packet: p,
+		Why:    NoRoute,
+	})
+}
+
+// ownersOf lists everybody who may own a flow of a route. The list is settled if
+// it is complete and old enough that every member had time to be heard.
+func (g *Guide) ownersOf(now time.Time, key link.Key, route *plan.Route) (list []frame.Host, settled bool) {
+	count := 0
+	hash := key.Hash()
+	first := route.Choose(hash)
+	list = place.Lookup(now, hash, g.members.Service(first))
+	count = len(list)
+	for i := range route.Parts {
+		if route.Parts[i].Service == first {
+			continue
+		}
+		more := place.Lookup(now, hash, g.members.Service(route.Parts[i].Service))
+		count += len(more)
+		list = append(list, more...)
+	}
+	list = list[:min(len(list), frame.MaxList)]
+	settled = count <= frame.MaxList && now.After(g.members.GainedAt().Add(deniedFor)) && now.After(g.started.Add(startGrace))
+	return list, settled
+}
+
+// withoutHost takes a host out of the list, or puts it last if it cannot say
+// whether it owns the flow.
+func withoutHost(list []frame.Host, host frame.Host, sure bool) (out []frame.Host) {
+	if host == 0 {
+		return list
+	}
+	found := false
+	for _, h := range list {
+		if h == host {
+			found = true
+			continue
+		}
+		out = append(out, h)
+	}
+	if found && !sure {
+		out = append(out, host)
+	}
+	return out
+}
+
+func (g *Guide) hint(now time.Time, o frame.Owner) {
+	g.members.Alive(o.Host)
+	x, ok := g.flows[o.Key]
+	if !ok {
+		x = g.remember(now, o.Key)
+		if x == nil {
+			return
+		}
+	}
+	x.keep = now.Add(ownerKeep)
+	x.opening = nil
+	x.deniedAt = time.Time{}
+	next := owner{
+		host:    o.Host,
+		initial: o.Initial,
+		known:   o.Known,
+	}
+	if s := g.members.Side(o.Host); s != nil {
+		x.service = s.Service
+	}
+	if x.owners[0].host == o.Host {
+		x.owners[0] = next
+		return
+	}
+	x.owners[1] = x.owners[0]
+	x.owners[0] = next
+}
+
+func (g *Guide) remember(now time.Time, key link.Key) *entry {
+	if len(g.flows) >= mostFlows {
+		return nil
+	}
+	x := &entry{
+		keep: now.Add(openingKeep),
+	}
+	g.flows[key] = x
+	return x
+}
+
+func (g *Guide) returned(now time.Time, e Return) {
+	g.members.Alive(e.Host)
+	p := e.Packet
+	x, ok := g.flows[p.Key]
+	if !e.Walked {
+		g.denied(now, x, e)
+		return
+	}
+	if !e.Sure || p.Payload == 0 {
+		g.add(Drop{
+			Packet: p,
+			Why:    OwnerUnknown,
+		})
+		return
+	}
+	if !ok {
+		if x = g.remember(now, p.Key); x == nil {
+			return
+		}
+	}
+	x.keep = now.Add(openingKeep)
+	if x.deniedAt.IsZero() {
+		x.deniedAt = now
+	}
+	if now.Before(x.deniedAt.Add(deniedFor)) {
+		g.add(Drop{
+			Packet: p,
+			Why:    OwnerUnknown,
+		})
+		return
+	}
+	delete(g.flows, p.Key)
+	g.add(Reset{
+		Packet: p,
+		Why:    AllDenied,
+	})
+}
+
+// denied takes a packet back from the endpoint that was believed to own its flow.
+// If that endpoint had owned it and is sure that it does not any more, it started
+// anew and the flow is lost. Otherwise the owner is somebody else.
+func (g *Guide) denied(now time.Time, x *entry, e Return) {
+	p := e.Packet
+	owned := false
+	if x != nil {
+		owned = x.forget(e.Host)
+	}
+	if e.Sure && owned && p.Payload > 0 {
+		delete(g.flows, p.Key)
+		g.add(Reset{
+			Packet: p,
+			Why:    OwnerRestarted,
+		})
+		return
+	}
+	g.lookup(now, p, e.Stray.Packet, e.Host, e.Sure)
+}
+
+// forget takes a host out of the owners. It tells whether the host was the only
+// one and had named the sequence number by which it owned the flow.
+func (x *entry) forget(h frame.Host) (owned bool) {
+	if x.owners[1].host == h {
+		x.owners[1] = owner{}
+		return false
+	}
+	if x.owners[0].host != h {
+		return false
+	}
+	owned = x.owners[0].known && x.owners[1].host == 0
+	x.owners[0] = x.owners[1]
+	x.owners[1] = owner{}
+	return owned
+}
+
+// sweepEvery is how often flows that are over are looked for.
+const sweepEvery = 2 * time.Second
+
+func (g *Guide) tick(now time.Time) {
+	kept := g.waiting[:0]
+	for _, o := range g.waiting {
+		x, ok := g.flows[o.key]
+		if !ok || x.opening != o {
+			continue
+		}
+		if now.Before(o.due) || g.resend(now, x, o) {
+			kept = append(kept, o)
+		}
+	}
+	clear(g.waiting[len(kept):])
+	g.waiting = kept
+	if now.Before(g.sweepAt) {
+		return
+	}
+	g.sweepAt = now.Add(sweepEvery)
+	for k, x := range g.flows {
+		if now.After(x.keep) {
+			delete(g.flows, k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/hold/arrive.go
@@ -0,0 +1,302 @@
+package hold
+
+import (
+	"slices"
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+	"github.com/clementinewing/clementinewing/internal/world/node"
+)
+
+// asked says what a packet in the endpoint's hands is there for.
+type asked uint8
+
+const (
+	// askOwned: a packet of a flow that is known to be the endpoint's.
+	askOwned asked = iota + 1
+	// askOpening: an opening that the endpoint is to answer.
+	askOpening
+	// askWhose: a packet whose flow may be the endpoint's.
+	askWhose
+)
+
+// mark is one packet in the endpoint's hands.
+type mark struct {
+	number uint32
+	ask    asked
+	key    link.Key
+	packet link.Packet
+	carry  *frame.Carry
+	raw    []byte
+	due    time.Time
+}
+
+// arrived takes a packet that was handed over.
+func (h *Hold) arrived(now time.Time, a Arrived) {
+	if a.Packet.Kind == link.Opening {
+		h.open(now, a.Packet, a.Carry)
+		return
+	}
+	h.deliver(now, a.Packet, a.Carry)
+}
+
+// open decides whether the endpoint takes a new flow.
+func (h *Hold) open(now time.Time, p link.Packet, c *frame.Carry) {
+	f, ok := h.flows[p.Key]
+	if ok && f.sequence == p.Sequence && f.known {
+		f.balancer = c.Balancer
+		h.give(now, p, c, askOwned)
+		h.tell(f, p.Key)
+		return
+	}
+	if why, passes := h.passesOn(c); passes {
+		h.next(p, c, why)
+		return
+	}
+	if ok {
+		h.use(f, phaseIdle)
+	}
+	queued := h.inUse >= int(h.endpoint.slots)
+	f = &flow{
+		since:    now,
+		keep:     now.Add(closedKeep),
+		sequence: p.Sequence,
+		balancer: c.Balancer,
+		home:     c.Home,
+		queued:   queued,
+	}
+	h.use(f, phaseOpening)
+	h.flows[p.Key] = f
+	h.give(now, p, c, askOpening)
+}
+
+// passesOn tells why the endpoint does not take an opening, if it does not. An
+// endpoint with every slot in use takes it only if it is the least loaded of all
+// that were asked.
+func (h *Hold) passesOn(c *frame.Carry) (why Reason, passes bool) {
+	e := &h.endpoint
+	switch {
+	case c.Service != h.service:
+		return OtherService, true
+	case e.state() == node.Draining || e.state() == node.Gone:
+		return Leaving, true
+	case e.state() != node.Serving:
+		return NotServing, true
+	case len(h.flows) >= mostFlows:
+		return TableFull, true
+	case !e.proven && h.inUse > 0:
+		return Unproven, true
+	case h.inUse >= int(e.slots)*queueFactor:
+		return QueueFull, true
+	case h.inUse >= int(e.slots) && c.Flags&frame.Chosen == 0:
+		h.consider(c)
+		return SlotsFull, true
+	default:
+		return 0, false
+	}
+}
+
+// consider notes this candidate as the least loaded of those that were asked.
+func (h *Hold) consider(c *frame.Carry) {
+	load := uint16(min(h.inUse*loadUnit/int(h.endpoint.slots), 0xffff))
+	if c.Best == frame.NoBest || load < c.BestLoad {
+		c.Best = c.Position
+		c.BestLoad = load
+	}
+}
+
+// next asks the next candidate. An opening that all have passed on goes to the
+// least loaded of them, or is refused; a flow that all have denied goes back to
+// its balancer.
+func (h *Hold) next(p link.Packet, c *frame.Carry, why Reason) {
+	switch {
+	case c.Flags&frame.Chosen == 0 && int(c.Position)+1 < len(c.List):
+		c.Position++
+	case p.Kind != link.Opening:
+		h.add(GiveBack{
+			To: c.Balancer,
+			Stray: frame.Stray{
+				Host:   h.self,
+				Sure:   c.Flags&frame.Settled != 0 && c.Flags&frame.Unsure == 0,
+				Walked: true,
+				Packet: c.Packet,
+			},
+			Key: p.Key,
+			Why: why,
+		})
+		return
+	case c.Flags&frame.Chosen == 0 && c.Best != frame.NoBest && int(c.Best) < len(c.List):
+		c.Flags |= frame.Chosen
+		c.Position = c.Best
+	default:
+		h.add(Refuse{
+			Packet: p,
+			Why:    why,
+		})
+		return
+	}
+	if c.List[c.Position] == h.self && c.Flags&frame.Chosen == 0 {
+		h.next(p, c, why)
+		return
+	}
+	h.add(HandOn{
+		To:    c.List[c.Position],
+		Carry: c,
+		Key:   p.Key,
+		Kind:  p.Kind,
+		Why:   why,
+	})
+}
+
+// deliver takes a packet of a flow that exists somewhere.
+func (h *Hold) deliver(now time.Time, p link.Packet, c *frame.Carry) {
+	f, ok := h.flows[p.Key]
+	if ok && f.owns(p) {
+		moved := f.balancer != c.Balancer
+		f.balancer = c.Balancer
+		if c.Home != 0 {
+			f.home = c.Home
+		}
+		if c.Flags&frame.Cached == 0 || moved {
+			h.tell(f, p.Key)
+		}
+		h.fromCaller(now, f, p, c.Packet)
+		h.give(now, p, c, askOwned)
+		return
+	}
+	if h.endpoint.complete || ok {
+		h.notHere(p, c, UnknownFlow)
+		return
+	}
+	h.give(now, p, c, askWhose)
+}
+
+// notHere passes on a packet whose flow is not the endpoint's.
+func (h *Hold) notHere(p link.Packet, c *frame.Carry, why Reason) {
+	if c.Flags&frame.Cached != 0 {
+		h.add(GiveBack{
+			To: c.Balancer,
+			Stray: frame.Stray{
+				Host:   h.self,
+				Sure:   c.Flags&frame.Unsure == 0,
+				Packet: c.Packet,
+			},
+			Key: p.Key,
+			Why: why,
+		})
+		return
+	}
+	h.redirect(p, c)
+	h.next(p, c, why)
+}
+
+// redirect puts the owner that is known of a flow next in the list.
+func (h *Hold) redirect(p link.Packet, c *frame.Carry) {
+	known, ok := h.elsewhere[p.Key]
+	if !ok {
+		return
+	}
+	at := slices.Index(c.List, known.owner.Host)
+	next := int(c.Position) + 1
+	if at < next {
+		return
+	}
+	copy(c.List[next+1:at+1], c.List[next:at])
+	c.List[next] = known.owner.Host
+}
+
+// give hands a packet to the endpoint and remembers it for the bounce. Only what
+// another candidate would be asked next is kept with a deadline.
+func (h *Hold) give(now time.Time, p link.Packet, c *frame.Carry, a asked) {
+	h.nextMark++
+	m := &h.marks[h.nextMark%markSlots]
+	*m = mark{
+		number: h.nextMark,
+		ask:    a,
+		key:    p.Key,
+		packet: p,
+		carry:  c,
+	}
+	if a != askOwned {
+		m.raw = slices.Clone(c.Packet)
+		m.due = now.Add(muteAfter)
+		h.timed = append(h.timed, m.number)
+	}
+	h.add(Deliver{
+		Raw:  c.Packet,
+		Mark: m.number,
+	})
+}
+
+// bounced takes back a packet that the endpoint did not take.
+func (h *Hold) bounced(now time.Time, b Bounced) {
+	h.heard()
+	m := &h.marks[b.Mark%markSlots]
+	if m.number != b.Mark || m.ask == 0 || m.key != b.Packet.Key {
+		return
+	}
+	c := m.carry
+	c.Packet = b.Raw
+	ask := m.ask
+	m.ask = 0
+	f, ok := h.flows[b.Packet.Key]
+	switch {
+	case b.Packet.Kind == link.Opening:
+		if ok && f.phase == phaseOpening {
+			h.use(f, phaseIdle)
+			delete(h.flows, b.Packet.Key)
+		}
+		c.Flags &^= frame.Chosen
+		h.next(b.Packet, c, EndpointRefused)
+	default:
+		if ok && ask == askOwned {
+			h.use(f, phaseIdle)
+			delete(h.flows, b.Packet.Key)
+		}
+		h.notHere(b.Packet, c, EndpointDenied)
+	}
+	_ = now
+}
+
+// overdue passes over the endpoint where it has not answered in time.
+func (h *Hold) overdue(now time.Time) {
+	for len(h.timed) > 0 {
+		number := h.timed[0]
+		m := &h.marks[number%markSlots]
+		live := m.number == number && m.ask != 0
+		if live && now.Before(m.due) {
+			return
+		}
+		h.timed = h.timed[1:]
+		if live {
+			h.expire(m)
+		}
+	}
+	h.timed = nil
+}
+
+// expire asks the next candidate instead of an endpoint that was silent.
+func (h *Hold) expire(m *mark) {
+	ask := m.ask
+	m.ask = 0
+	f, ok := h.flows[m.key]
+	c := m.carry
+	c.Packet = m.raw
+	if ask == askOpening {
+		if !ok || f.sequence != m.packet.Sequence || f.known {
+			return
+		}
+		h.use(f, phaseIdle)
+		delete(h.flows, m.key)
+		h.mute(OpeningUnanswered)
+		c.Flags &^= frame.Chosen
+		h.next(m.packet, c, OpeningUnanswered)
+		return
+	}
+	if ok {
+		return
+	}
+	c.Flags |= frame.Unsure
+	h.notHere(m.packet, c, NoWord)
+}
--- /dev/null
+++ b/internal/relay/hold/flow.go
@@ -0,0 +1,200 @@
+package hold
+
+import (
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+)
+
+// phase is where a flow stands between two requests.
+type phase uint8
+
+const (
+	// phaseIdle: no request is in hand.
+	phaseIdle phase = iota
+	// phaseOpening: the endpoint has the opening.
+	phaseOpening
+	// phaseAccepted: the endpoint has answered it; a request is to come.
+	phaseAccepted
+	// phaseBusy: a request is in hand and no byte of its answer has come.
+	phaseBusy
+)
+
+// flow is one flow of the endpoint.
+type flow struct {
+	phase phase
+	since time.Time
+	keep  time.Time
+	// sequence is the caller's first sequence number.
+	sequence uint32
+	// initial and highest bound the endpoint's sequence numbers, and so what
+	// the caller may acknowledge.
+	initial uint32
+	highest uint32
+	known   bool
+	queued  bool
+	// balancer and home hear of the owner.
+	balancer frame.Host
+	home     frame.Host
+	fins     uint8
+}
+
+const (
+	finCaller   = 1
+	finEndpoint = 2
+)
+
+// Bits of TCP flags, as link.Packet holds them (RFC 9293).
+const (
+	flagFin = 0x01
+	flagSyn = 0x02
+	flagAck = 0x10
+)
+
+// use moves a flow to a phase and keeps count of what is in use.
+func (h *Hold) use(f *flow, p phase) {
+	if f.phase != phaseIdle {
+		h.inUse--
+	}
+	f.phase = p
+	if p != phaseIdle {
+		h.inUse++
+	}
+}
+
+// owns tells whether a continuing packet can be of the flow: it acknowledges
+// something that the endpoint has sent.
+func (f *flow) owns(p link.Packet) bool {
+	if !f.known || !p.HasAck() {
+		return true
+	}
+	return p.Acknowledgment-f.initial <= f.highest-f.initial
+}
+
+// fromCaller follows a packet that goes to the endpoint.
+func (h *Hold) fromCaller(now time.Time, f *flow, p link.Packet, raw []byte) {
+	f.keep = now.Add(flowKeep)
+	if p.Payload > 0 && f.phase != phaseBusy && f.fins == 0 {
+		h.add(Began{
+			Key: p.Key,
+			Raw: raw,
+		})
+		h.use(f, phaseBusy)
+		f.since = now
+	}
+	if p.IsReset() {
+		h.end(now, f, finCaller|finEndpoint)
+	}
+	if p.Flags&flagFin != 0 {
+		h.end(now, f, finCaller)
+	}
+}
+
+// end notes that an end of the flow has closed; a flow with both closed is kept a
+// while for what is under way.
+func (h *Hold) end(now time.Time, f *flow, fin uint8) {
+	f.fins |= fin
+	if f.fins == finCaller|finEndpoint {
+		h.use(f, phaseIdle)
+		f.keep = now.Add(closedKeep)
+	}
+}
+
+// answered follows a packet of the endpoint and sends it to its caller. The key
+// of such a packet is the caller's.
+func (h *Hold) answered(now time.Time, a Answered) {
+	h.heard()
+	p := a.Packet
+	h.add(Forward{
+		Raw: a.Raw,
+		Key: p.Key,
+	})
+	f, ok := h.flows[p.Key]
+	if !ok {
+		f = h.adopt(now, p)
+		if f == nil {
+			return
+		}
+	}
+	f.keep = now.Add(flowKeep)
+	switch {
+	case p.Flags&flagSyn != 0:
+		h.accepted(now, f, p)
+		return
+	case !f.known:
+		f.known = true
+		f.initial = p.Sequence - 1
+		f.highest = p.Sequence
+	}
+	if end := p.Sequence + p.Length(); end-f.initial > f.highest-f.initial && end-f.initial < 1<<31 {
+		f.highest = end
+	}
+	if p.Payload > 0 && f.phase != phaseIdle {
+		h.use(f, phaseIdle)
+	}
+	if p.IsReset() {
+		h.end(now, f, finCaller|finEndpoint)
+	}
+	if p.Flags&flagFin != 0 {
+		h.end(now, f, finEndpoint)
+	}
+}
+
+// adopt takes up a flow that the endpoint holds from before this process.
+func (h *Hold) adopt(now time.Time, p link.Packet) *flow {
+	if p.IsReset() || p.Flags&flagSyn != 0 || len(h.flows) >= mostFlows {
+		return nil
+	}
+	f := &flow{
+		since: now,
+	}
+	h.flows[p.Key] = f
+	return f
+}
+
+// accepted takes the endpoint's answer to an opening and says whose the flow is.
+func (h *Hold) accepted(now time.Time, f *flow, p link.Packet) {
+	if f.known && f.initial == p.Sequence {
+		h.tell(f, p.Key)
+		return
+	}
+	f.known = true
+	f.initial = p.Sequence
+	f.highest = p.Sequence + 1
+	h.add(Accepted{
+		Key:    p.Key,
+		InUse:  h.inUse,
+		Slots:  int(h.endpoint.slots),
+		After:  now.Sub(f.since),
+		Queued: f.queued,
+	})
+	if f.phase == phaseOpening {
+		h.use(f, phaseAccepted)
+		f.since = now
+	}
+	h.tell(f, p.Key)
+}
+
+// tell says whose a flow is to the balancer that asked and to the process where
+// it is looked for first.
+func (h *Hold) tell(f *flow, key link.Key) {
+	o := frame.Owner{
+		Key:     key,
+		Host:    h.self,
+		Initial: f.initial,
+		Known:   f.known,
+	}
+	if f.balancer != 0 {
+		h.add(Tell{
+			To:    f.balancer,
+			Owner: o,
+		})
+	}
+	if f.home != 0 && f.home != h.self {
+		h.add(Tell{
+			To:    f.home,
+			Owner: o,
+		})
+	}
+}
--- /dev/null
+++ b/internal/relay/hold/hold.go
@@ -0,0 +1,366 @@
+// Package hold is a side process's decision on each packet, on platforms whose
+// upstreams end the flows: whether its endpoint takes a new flow, whether a flow
+// is its endpoint's, and whom to ask next. It is a pure state machine: Step takes
+// an event and gives actions.
+//
+// The side process is the only way to its endpoint. So what it decides on new
+// flows holds whatever balancers believe: none reaches an endpoint that leaves.
+package hold
+
+import (
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+	"github.com/clementinewing/clementinewing/internal/world/node"
+	"github.com/clementinewing/clementinewing/internal/world/pact"
+)
+
+const (
+	// muteAfter is how long the endpoint may take over an opening, or over a
+	// packet that it was asked about, until the next candidate is asked. The
+	// endpoints answer within a few milliseconds, also when they are slow.
+	muteAfter = 40 * time.Millisecond
+	// requestWithin is how long an accepted flow counts as a request to come.
+	requestWithin = 500 * time.Millisecond
+	// requestMost is how long a request counts as in hand without an answer:
+	// longer than any deadline of the services seen.
+	requestMost = 12 * time.Second
+	// closedKeep is how long a flow that ended stays known, so that what is
+	// still under way reaches the endpoint.
+	closedKeep = 8 * time.Second
+	// flowKeep is how long a silent flow stays known: the longest life of a flow.
+	flowKeep = 65 * time.Second
+	// elsewhereKeep is how long the owner of a flow placed elsewhere is known.
+	elsewhereKeep = 65 * time.Second
+	// mostFlows and mostElsewhere bound the tables, 100 to 150 bytes a flow.
+	mostFlows     = 20_000
+	mostElsewhere = 50_000
+	// markSlots is how many packets in the endpoint's hands are remembered.
+	markSlots = 1 << 11
+	// queueFactor is how many requests for each slot an endpoint may have in
+	// hand before new flows are refused: with the work of these services it is
+	// some 300 ms of waiting, which no other endpoint can offer either when all
+	// candidates are as full.
+	queueFactor = 5
+	// averageOver is the time constant of the average load: it spans a few
+	// requests of a long flow.
+	averageOver = 2 * time.Second
+	// loadUnit is the load of one slot in hand-over messages.
+	loadUnit = 64
+)
+
+// Event is Arrived, Answered, Bounced, Placed, Reported, Left, Leave, Told or Tick.
+type Event interface{ event() }
+
+// Arrived is a packet that a balancer or side process handed over.
+type Arrived struct {
+	Packet link.Packet
+	Carry  *frame.Carry
+}
+
+// Answered is a packet of the endpoint.
+type Answered struct {
+	Packet link.Packet
+	Raw    []byte
+}
+
+// Bounced is a packet that the endpoint did not take.
+type Bounced struct {
+	Packet link.Packet
+	Raw    []byte
+	Mark   uint32
+}
+
+// Elsewhere is word of the owner of a flow that this process is asked for first.
+type Elsewhere struct {
+	frame.Owner
+}
+
+// Report is what the endpoint says of itself.
+type Report struct {
+	ID       string
+	Service  string
+	Born     uint64
+	Sequence uint64
+	Slots    uint16
+	Draining bool
+	// ColdUntil is when the endpoint stops being slow after its start.
+	ColdUntil time.Time
+}
+
+// Reported is a report of the endpoint.
+type Reported struct {
+	Report
+}
+
+// Left is the endpoint's last word before it ends.
+type Left struct {
+	ID string
+}
+
+// Leave asks for no more new flows: the process is to end.
+type Leave struct{}
+
+// Told is what balancers remember of the endpoint from before this process.
+type Told struct {
+	State node.State
+	Born  uint64
+}
+
+// Unreachable tells that nothing listens where the endpoint was.
+type Unreachable struct{}
+
+// Tick is due every TickEvery.
+type Tick struct{}
+
+// TickEvery is the interval of ticks; it bounds how late a candidate that does
+// not answer is passed over.
+const TickEvery = 20 * time.Millisecond
+
+func (Arrived) event()     {}
+func (Answered) event()    {}
+func (Bounced) event()     {}
+func (Elsewhere) event()   {}
+func (Reported) event()    {}
+func (Left) event()        {}
+func (Leave) event()       {}
+func (Told) event()        {}
+func (Unreachable) event() {}
+func (Tick) event()        {}
+
+// Action is Deliver, HandOn, GiveBack, Tell, Forward, Refuse or Note.
+type Action interface{ action() }
+
+// Deliver gives a packet to the endpoint; it comes back with Mark if it bounces.
+type Deliver struct {
+	Raw  []byte
+	Mark uint32
+}
+
+// HandOn gives a packet to the next candidate.
+type HandOn struct {
+	To    frame.Host
+	Carry *frame.Carry
+	Key   link.Key
+	Kind  link.Kind
+	Why   Reason
+}
+
+// GiveBack returns a packet to its balancer.
+type GiveBack struct {
+	To    frame.Host
+	Stray frame.Stray
+	Key   link.Key
+	Why   Reason
+}
+
+// Tell sends word of an owner.
+type Tell struct {
+	To    frame.Host
+	Owner frame.Owner
+}
+
+// Forward sends a packet of the endpoint to its caller.
+type Forward struct {
+	Raw []byte
+	Key link.Key
+}
+
+// Refuse answers an opening with a reset: no endpoint has run anything.
+type Refuse struct {
+	Packet link.Packet
+	Why    Reason
+}
+
+// Accepted tells that the endpoint answered an opening.
+type Accepted struct {
+	Key    link.Key
+	InUse  int
+	Slots  int
+	After  time.Duration
+	Queued bool
+}
+
+// Began tells that the first bytes of a request went to the endpoint; Raw holds
+// them behind the packet's header.
+type Began struct {
+	Key link.Key
+	Raw []byte
+}
+
+// Changed tells that what the process believes of its endpoint has changed.
+type Changed struct {
+	State node.State
+	Why   Reason
+}
+
+func (Deliver) action()  {}
+func (HandOn) action()   {}
+func (GiveBack) action() {}
+func (Tell) action()     {}
+func (Forward) action()  {}
+func (Refuse) action()   {}
+func (Accepted) action() {}
+func (Began) action()    {}
+func (Changed) action()  {}
+
+// Hold decides for one endpoint. Calls are made by one goroutine at a time.
+type Hold struct {
+	self    frame.Host
+	service pact.ServiceID
+
+	endpoint endpoint
+	flows    map[link.Key]*flow
+	// elsewhere holds owners of flows that are looked for here first.
+	elsewhere map[link.Key]place
+	marks     [markSlots]mark
+	nextMark  uint32
+	// timed are the marks that have a deadline, oldest first.
+	timed   []uint32
+	inUse   int
+	average float64
+	tickAt  time.Time
+	sweepAt time.Time
+	out     []Action
+}
+
+// place is where a flow lives.
+type place struct {
+	owner frame.Owner
+	keep  time.Time
+}
+
+// Option sets one property of a Hold.
+type Option func(*Hold)
+
+// FirstStart tells that the whole system starts for the first time: no flow is
+// older than this process, and traffic waits for the endpoint's report.
+func FirstStart() Option {
+	return func(h *Hold) {
+		h.endpoint.complete = true
+		h.endpoint.waits = true
+	}
+}
+
+// New makes a Hold for the endpoint of a service beside the process at self.
+func New(self frame.Host, service string, options ...Option) *Hold {
+	h := &Hold{
+		self:      self,
+		service:   pact.Identify(service),
+		flows:     map[link.Key]*flow{},
+		elsewhere: map[link.Key]place{},
+	}
+	h.endpoint.slots = 1
+	for _, o := range options {
+		o(h)
+	}
+	return h
+}
+
+// Step takes one event. The actions are valid until the next Step.
+func (h *Hold) Step(now time.Time, e Event) []Action {
+	h.out = h.out[:0]
+	switch e := e.(type) {
+	case Arrived:
+		h.arrived(now, e)
+	case Answered:
+		h.answered(now, e)
+	case Bounced:
+		h.bounced(now, e)
+	case Elsewhere:
+		h.learn(now, e.Owner)
+	case Reported:
+		h.reported(now, e.Report)
+	case Left:
+		h.left(e.ID)
+	case Leave:
+		h.endpoint.leaving = true
+	case Told:
+		h.told(e)
+	case Unreachable:
+		h.mute(NotListening)
+	case Tick:
+		h.tick(now)
+	}
+	return h.out
+}
+
+func (h *Hold) add(a Action) {
+	h.out = append(h.out, a)
+}
+
+// Load gives what is told to balancers; the caller adds what it alone knows.
+func (h *Hold) Load(now time.Time) frame.Load {
+	e := &h.endpoint
+	return frame.Load{
+		Host:    h.self,
+		Service: h.service,
+		State:   e.state(),
+		Proven:  e.proven,
+		Born:    e.born,
+		Slots:   e.slots,
+		InUse:   uint16(min(h.inUse, 0xffff)),
+		Average: uint16(min(h.average*loadUnit, 0xffff)),
+		Flows:   uint16(min(len(h.flows), 0xffff)),
+		Cold:    uint16(max(0, min(e.coldUntil.Sub(now).Milliseconds(), 0xffff))),
+	}
+}
+
+// InUse is how many requests and openings the endpoint has in hand.
+func (h *Hold) InUse() int {
+	return h.inUse
+}
+
+// Flows is how many flows are known.
+func (h *Hold) Flows() int {
+	return len(h.flows)
+}
+
+// learn keeps the owner of a flow that is looked for here first.
+func (h *Hold) learn(now time.Time, o frame.Owner) {
+	if o.Host == h.self || len(h.elsewhere) >= mostElsewhere {
+		return
+	}
+	h.elsewhere[o.Key] = place{
+		owner: o,
+		keep:  now.Add(elsewhereKeep),
+	}
+}
+
+func (h *Hold) tick(now time.Time) {
+	h.overdue(now)
+	if !h.tickAt.IsZero() {
+		part := min(1, float64(now.Sub(h.tickAt))/float64(averageOver))
+		h.average += (float64(h.inUse) - h.average) * part
+	}
+	h.tickAt = now
+	if now.Before(h.sweepAt) {
+		return
+	}
+	h.sweepAt = now.Add(sweepEvery)
+	h.sweep(now)
+}
+
+// sweepEvery is how often flows are looked over for what has ended; it bounds
+// how late an accepted flow without a request stops counting.
+const sweepEvery = 250 * time.Millisecond
+
+func (h *Hold) sweep(now time.Time) {
+	for k, f := range h.flows {
+		switch {
+		case now.After(f.keep):
+			h.use(f, phaseIdle)
+			delete(h.flows, k)
+		case f.phase == phaseAccepted && now.After(f.since.Add(requestWithin)):
+			h.use(f, phaseIdle)
+		case f.phase == phaseBusy && now.After(f.since.Add(requestMost)):
+			h.use(f, phaseIdle)
+		}
+	}
+	for k, p := range h.elsewhere {
+		if now.After(p.keep) {
+			delete(h.elsewhere, k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/place/place.go
@@ -0,0 +1,151 @@
+// Package place orders the endpoints of a service for one flow: by load for a
+// new flow, by rendezvous hashing for a flow whose owner has to be found.
+//
+// The load it answers: openings that every balancer places by itself, on reports
+// that are up to a quarter of a second old, for endpoints with a few slots each,
+// of which the long flows are never moved. The report tells what is in use now
+// and on average; the average weighs the long flows, whose requests come and go.
+// Side processes correct a wrong guess by handing the opening on.
+package place
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/flow/rank"
+	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/relay/roster"
+	"github.com/clementinewing/clementinewing/internal/world/node"
+)
+
+// Weights of an opening's cost, in loads: 1 is an endpoint with every slot busy.
+const (
+	// weightNow and weightAverage share the cost between what is in use at the
+	// report and the average that long flows make.
+	weightNow     = 0.5
+	weightAverage = 1.0
+	// costZone is what another failure domain may have less in load: a hop of a
+	// millisecond there and back against a queue of tens of milliseconds.
+	costZone = 0.12
+	// costCold is the share of work that a cold endpoint takes longer.
+	costCold = 0.6
+	// costUnproven keeps endpoints nobody has heard of behind others.
+	costUnproven = 2.0
+	// costDoubt is for each opening that was left unanswered.
+	costDoubt = 0.7
+	// spread is the random part that keeps balancers from choosing alike.
+	spread = 0.12
+	// mostOpening bounds the candidates of an opening: with a tenth of the
+	// endpoints free, eight candidates find one in over half of the cases, and
+	// the least loaded of eight takes the rest.
+	mostOpening = 8
+)
+
+type scored struct {
+	side *roster.Side
+	cost float64
+}
+
+// Opening orders the endpoints that may take a new flow, best first, and gives at
+// most mostOpening of them.
+func Opening(now time.Time, hash, zone uint64, sides []*roster.Side) (list []frame.Host) {
+	room := make([]scored, 0, len(sides))
+	for _, s := range sides {
+		if s.Takes(now) {
+			room = append(room, scored{
+				side: s,
+				cost: Cost(now, zone, s) + spread*fraction(hash, s.Host),
+			})
+		}
+	}
+	slices.SortFunc(room, func(a, b scored) int { return cmp.Compare(a.cost, b.cost) })
+	room = room[:min(len(room), mostOpening)]
+	list = make([]frame.Host, len(room))
+	for i := range room {
+		list[i] = room[i].side.Host
+	}
+	return list
+}
+
+// Cost is the expected load of an endpoint that takes one more flow.
+func Cost(now time.Time, zone uint64, s *roster.Side) (cost float64) {
+	slots := float64(max(s.Slots, 1))
+	cost = weightNow*(float64(s.InUse)+float64(s.Sent)+1)/slots + weightAverage*float64(s.Average)/64/slots
+	if now.Before(s.ColdUntil) {
+		cost *= 1 + costCold
+	}
+	if s.Zone != zone {
+		cost += costZone
+	}
+	if !s.Proven {
+		cost += costUnproven
+	}
+	return cost + costDoubt*float64(s.Doubts)
+}
+
+// fraction draws a number from 0 to 1 from a flow and a host.
+func fraction(hash uint64, h frame.Host) float64 {
+	x := (hash ^ uint64(h)*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
+	return float64(x>>11) / (1 << 53)
+}
+
+// Lookup orders everybody who may own a flow: those heard lately first, and in
+// both parts by rendezvous hashing, so that balancers agree on the first, which
+// keeps the owners of flows that were placed elsewhere.
+func Lookup(now time.Time, hash uint64, sides []*roster.Side) (list []frame.Host) {
+	type claim struct {
+		host   frame.Host
+		silent bool
+		cost   uint64
+	}
+	room := make([]claim, 0, len(sides))
+	for _, s := range sides {
+		if s.State == node.Gone {
+			continue
+		}
+		room = append(room, claim{
+			host:   s.Host,
+			silent: s.Silent(now),
+			cost: rank.Cost(hash, node.Endpoint{
+				Incarnation: node.Incarnation(uint64(s.Host) * 0x9e3779b97f4a7c15),
+				Weight:      1,
+			}),
+		})
+	}
+	slices.SortFunc(room, func(a, b claim) int {
+		if a.silent != b.silent {
+			if b.silent {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.cost, b.cost)
+	})
+	room = room[:min(len(room), frame.MaxList)]
+	list = make([]frame.Host, len(room))
+	for i := range room {
+		list[i] = room[i].host
+	}
+	return list
+}
+
+// Home is the first of Lookup, or 0.
+func Home(now time.Time, hash uint64, sides []*roster.Side) (home frame.Host) {
+	best := uint64(math.MaxUint64)
+	for _, s := range sides {
+		if s.State == node.Gone || s.Silent(now) {
+			continue
+		}
+		cost := rank.Cost(hash, node.Endpoint{
+			Incarnation: node.Incarnation(uint64(s.Host) * 0x9e3779b97f4a7c15),
+			Weight:      1,
+		})
+		if cost < best {
+			best = cost
+			home = s.Host
+		}
+	}
+	return home
+}
--- /dev/null
+++ b/internal/relay/roster/roster.go
@@ -0,0 +1,258 @@
+// Package roster is what a balancer knows of the fleet: side processes from
+// their own reports of load, other balancers from their pulses. It is a pure
+// state machine; a lost report costs freshness and nothing else.
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/world/node"
+	"github.com/clementinewing/clementinewing/internal/world/pact"
+)
+
+const (
+	// LoadEvery is the interval of a side process's reports. New flows are
+	// placed by reports; ten flows a second and endpoint change little in it.
+	LoadEvery = 250 * time.Millisecond
+	// PulseEvery is the interval of a balancer's pulses.
+	PulseEvery = 400 * time.Millisecond
+	// silentAfter is three missed reports and some delay.
+	silentAfter = 900 * time.Millisecond
+	// forgetAfter is how long a silent side process stays a possible owner: as
+	// long as the longest-lived flow of the platform.
+	forgetAfter = 65 * time.Second
+	// goneAfter is how long an endpoint that left stays known, so that a late
+	// report is recognised.
+	goneAfter = 10 * time.Second
+	// dropBalancer is how long a silent balancer stays known.
+	dropBalancer = 15 * time.Second
+	// aliveFor is how fresh a pulse is of a balancer that shares turns.
+	aliveFor = 1500 * time.Millisecond
+)
+
+// Side is one side process and its endpoint.
+type Side struct {
+	frame.Load
+	HeardAt   time.Time
+	ColdUntil time.Time
+	// Sent counts openings handed to it since its last report.
+	Sent int
+	// Doubts counts openings that it left unanswered since it was last heard.
+	Doubts int
+}
+
+// Balancer is another balancer.
+type Balancer struct {
+	frame.Pulse
+	HeardAt time.Time
+	// Met tells that it was heard and not only named by others.
+	Met bool
+}
+
+// Roster holds the members.
+type Roster struct {
+	self      frame.Host
+	sides     map[frame.Host]*Side
+	balancers map[frame.Host]*Balancer
+	services  map[pact.ServiceID][]*Side
+	gainedAt  time.Time
+}
+
+// New makes a roster of the balancer at self.
+func New(self frame.Host) *Roster {
+	return &Roster{
+		self:      self,
+		sides:     map[frame.Host]*Side{},
+		balancers: map[frame.Host]*Balancer{},
+		services:  map[pact.ServiceID][]*Side{},
+	}
+}
+
+// Hear takes a report. It tells whether the report says more than fresh numbers:
+// a new member, or another state, service or incarnation.
+func (r *Roster) Hear(now time.Time, l frame.Load) (changed bool) {
+	s, ok := r.sides[l.Host]
+	if ok && s.Process == l.Process && l.Sequence <= s.Sequence {
+		return false
+	}
+	if ok && isOlder(l, s.Load) {
+		return false
+	}
+	if !ok {
+		s = &Side{}
+		r.sides[l.Host] = s
+		r.gainedAt = now
+	}
+	changed = !ok || s.State != l.State || s.Service != l.Service || s.Born != l.Born || s.Proven != l.Proven
+	move := !ok || s.Service != l.Service
+	if move && ok {
+		r.detach(s)
+		r.gainedAt = now
+	}
+	s.Load = l
+	s.HeardAt = now
+	s.ColdUntil = now.Add(time.Duration(l.Cold) * time.Millisecond)
+	s.Sent = 0
+	s.Doubts = 0
+	if move {
+		r.attach(s)
+	}
+	return changed
+}
+
+// isOlder tells whether a report is from an earlier life of the endpoint.
+func isOlder(l, held frame.Load) bool {
+	return l.Process == held.Process && l.Born != 0 && l.Born < held.Born
+}
+
+func (r *Roster) attach(s *Side) {
+	list := append(slices.Clone(r.services[s.Service]), s)
+	slices.SortFunc(list, func(a, b *Side) int { return cmp.Compare(a.Host, b.Host) })
+	r.services[s.Service] = list
+}
+
+func (r *Roster) detach(s *Side) {
+	r.services[s.Service] = slices.DeleteFunc(slices.Clone(r.services[s.Service]), func(o *Side) bool { return o == s })
+}
+
+// Alive notes a sign of life that is no report.
+func (r *Roster) Alive(h frame.Host) {
+	if s, ok := r.sides[h]; ok {
+		s.Doubts = 0
+	}
+}
+
+// Side gives a side process, or nil.
+func (r *Roster) Side(h frame.Host) *Side {
+	return r.sides[h]
+}
+
+// Service gives the side processes of a service by host; the list is not to be
+// changed.
+func (r *Roster) Service(id pact.ServiceID) []*Side {
+	return r.services[id]
+}
+
+// GainedAt is when the last possible owner of flows was added.
+func (r *Roster) GainedAt() time.Time {
+	return r.gainedAt
+}
+
+// Silent tells whether the side process has missed its reports.
+func (s *Side) Silent(now time.Time) bool {
+	return now.After(s.HeardAt.Add(silentAfter))
+}
+
+// Takes tells whether the endpoint may be given new flows.
+func (s *Side) Takes(now time.Time) bool {
+	return s.State == node.Serving && !s.Silent(now)
+}
+
+// Sides gives the hosts of all side processes.
+func (r *Roster) Sides() []frame.Host {
+	return hosts(r.sides)
+}
+
+// Meet takes a pulse and tells whether the balancer is new here.
+func (r *Roster) Meet(now time.Time, p frame.Pulse) (added bool) {
+	if p.Host == r.self {
+		return false
+	}
+	b, ok := r.balancers[p.Host]
+	if !ok {
+		b = &Balancer{}
+		r.balancers[p.Host] = b
+	}
+	added = !ok || b.Process != p.Process
+	b.Pulse = p
+	b.HeardAt = now
+	b.Met = true
+	return added
+}
+
+// Name adds a balancer that others know, and tells whether it is new here.
+func (r *Roster) Name(now time.Time, h frame.Host) (added bool) {
+	if _, ok := r.balancers[h]; ok || h == r.self || h == 0 {
+		return false
+	}
+	r.balancers[h] = &Balancer{
+		Pulse: frame.Pulse{
+			Host: h,
+			Age:  frame.NoAge,
+		},
+		HeardAt: now,
+	}
+	return true
+}
+
+// Balancers gives the hosts of all balancers but this one.
+func (r *Roster) Balancers() []frame.Host {
+	return hosts(r.balancers)
+}
+
+// Known gives the balancers that were heard lately and this one: what side
+// processes are to report to.
+func (r *Roster) Known(now time.Time) (list []frame.Host) {
+	list = []frame.Host{r.self}
+	for h, b := range r.balancers {
+		if b.Met && now.Before(b.HeardAt.Add(dropBalancer)) {
+			list = append(list, h)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Turn is this balancer's place among those alive, for the work that one of them
+// does for all.
+func (r *Roster) Turn(now time.Time) (turn int) {
+	for h, b := range r.balancers {
+		if h < r.self && b.Met && !b.Leaving && now.Before(b.HeardAt.Add(aliveFor)) {
+			turn++
+		}
+	}
+	return turn
+}
+
+// Digest identifies a set of hosts.
+func Digest(list []frame.Host) (sum uint64) {
+	for _, h := range list {
+		x := uint64(h) * 0x9e3779b97f4a7c15
+		sum += x ^ x>>29
+	}
+	return sum
+}
+
+// Expire forgets members that were silent for long and gives them.
+func (r *Roster) Expire(now time.Time) (sides, balancers []frame.Host) {
+	for h, s := range r.sides {
+		keep := forgetAfter
+		if s.State == node.Gone {
+			keep = goneAfter
+		}
+		if now.After(s.HeardAt.Add(keep)) {
+			r.detach(s)
+			delete(r.sides, h)
+			sides = append(sides, h)
+		}
+	}
+	for h, b := range r.balancers {
+		if now.After(b.HeardAt.Add(dropBalancer)) {
+			delete(r.balancers, h)
+			balancers = append(balancers, h)
+		}
+	}
+	return sides, balancers
+}
+
+func hosts[T any](m map[frame.Host]T) (list []frame.Host) {
+	list = make([]frame.Host, 0, len(m))
+	for h := range m {
+		list = append(list, h)
+	}
+	slices.Sort(list)
+	return list
+}
--- a/internal/world/link/link.go
+++ b/internal/world/link/link.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/binary"
+	"net/netip"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -41,3 +42,14 @@
 	b[12] = k.Protocol
 	return xxhash.Sum64(b[:])
 }
+
+// String gives the flow as logs print it: caller, then target.
+func (k Key) String() string {
+	return address(k.Caller, k.CallerPort).String() + ">" + address(k.Target, k.TargetPort).String()
+}
+
+func address(a uint32, port uint16) netip.AddrPort {
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], a)
+	return netip.AddrPortFrom(netip.AddrFrom4(b), port)
+}
