--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -28,6 +28,9 @@
 	leaveMargin = 700 * time.Millisecond
 	// leaveCheck is how often a leaving process looks whether it is done.
 	leaveCheck = 50 * time.Millisecond
+	// probeTimeout is for the connection that finds out whether the endpoint is
+	// there; both are on the same VM.
+	probeTimeout = 300 * time.Millisecond
 	// leaveLeast is how long a leaving process stays at least, so that
 	// balancers hear that it takes no new flows.
 	leaveLeast = 300 * time.Millisecond
@@ -134,7 +137,6 @@
 	var w sync.WaitGroup
 	w.Go(func() { a.readInner() })
 	w.Go(func() { a.readOutbound() })
-	w.Go(func() { a.readUpstream() })
 	w.Go(func() { a.meet(ctx) })
 	w.Go(func() { a.tickEvery(ctx) })
 	a.log.Trouble.Info().Str("address", a.self.String()).Str("service", a.settings.Service).Msg("agent started")
@@ -159,6 +161,9 @@
 	a.report(start, false)
 	a.mutex.Unlock()
 	a.log.Trouble.Info().Msg("agent leaves; new flows are handed on")
+	// An agent whose endpoint has ended before it tells balancers so: otherwise
+	// they would look for owners of flows here.
+	a.probe()
 	for now := start; now.Before(end); now = time.Now() {
 		time.Sleep(leaveCheck)
 		a.mutex.Lock()
--- a/internal/relay/agent/fleet.go
+++ b/internal/relay/agent/fleet.go
@@ -14,10 +14,11 @@
 const (
 	// askSeedsEvery is how often balancers that the settings name are asked
 	// until one answers.
-	askSeedsEvery = 60 * time.Millisecond
-	// storeAfter is how long they may take before the store is asked instead;
-	// firstStoreAfter is the same when the whole system starts and nothing waits.
-	storeAfter      = 150 * time.Millisecond
+	askSeedsEvery = 25 * time.Millisecond
+	// storeAfter is how long they may take before the store is asked as well: a
+	// few round trips; firstStoreAfter is the same when the whole system starts
+	// and nothing waits.
+	storeAfter      = 20 * time.Millisecond
 	firstStoreAfter = 1500 * time.Millisecond
 	storeTimeout    = 800 * time.Millisecond
 	storeLeast      = 200 * time.Millisecond
--- a/internal/relay/agent/packets.go
+++ b/internal/relay/agent/packets.go
@@ -50,30 +50,20 @@
 	})
 }
 
-// readUpstream hears that nothing listens at the endpoint's address; the endpoint
-// sends its packets elsewhere.
-func (a *Agent) readUpstream() {
-	buffer := make([]byte, datagramBytes)
-	for {
-		_, err := a.upstream.Read(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err == nil {
-			continue
-		}
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			a.refused()
-			continue
-		}
-		a.failed("reading from the endpoint", err)
+// probe finds out whether anything listens where the endpoint was. Only a refused
+// connection says that nothing does; silence says nothing.
+func (a *Agent) probe() {
+	c, err := net.DialTimeout("tcp4", a.settings.Upstream.String(), probeTimeout)
+	if err == nil {
+		_ = c.Close()
 	}
-}
-
-func (a *Agent) refused() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.act(a.hold.Step(time.Now(), hold.Unreachable{}))
+	a.counts.probes++
+	a.log.Trouble.Info().Bool("refused", errors.Is(err, syscall.ECONNREFUSED)).AnErr("error", err).Msg("endpoint probed")
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		a.act(a.hold.Step(time.Now(), hold.Unreachable{}))
+	}
 }
 
 func (a *Agent) readOutbound() {
@@ -147,10 +137,6 @@
 			a.send(one.To, one.Stray)
 		case hold.Tell:
 			a.send(one.To, one.Owner)
-		case hold.Refuse:
-			a.counts.refused[one.Why]++
-			a.logRefuse(one)
-			a.toCaller(one.Packet.Key, a.codec.Reset(one.Packet))
 		case hold.Accepted:
 			a.counts.accepted++
 			a.logAccepted(one)
@@ -159,6 +145,9 @@
 		case hold.Changed:
 			a.logChanged(one)
 			a.reportNow()
+			if one.Why == hold.OpeningUnanswered {
+				go a.probe()
+			}
 		}
 	}
 }
--- a/internal/relay/agent/serve.go
+++ b/internal/relay/agent/serve.go
@@ -73,13 +73,13 @@
 	accepted      uint64
 	requests      uint64
 	reports       uint64
+	probes        uint64
 	malformed     uint64
 	sendErrors    uint64
 	storeCalls    uint64
 	storeFailures uint64
 	handedOn      [reasons]uint64
 	givenBack     [reasons]uint64
-	refused       [reasons]uint64
 }
 
 // reasons is room for every hold.Reason.
@@ -107,14 +107,6 @@
 		Msg("packet given back")
 }
 
-func (a *Agent) logRefuse(r hold.Refuse) {
-	a.log.Trouble.Info().
-		Str("flow", r.Packet.Key.String()).
-		Str("why", r.Why.String()).
-		Int("in_use", a.hold.InUse()).
-		Msg("opening refused")
-}
-
 func (a *Agent) logAccepted(x hold.Accepted) {
 	a.log.Routine.Info().
 		Str("flow", x.Key.String()).
--- a/internal/relay/entry/entry.go
+++ b/internal/relay/entry/entry.go
@@ -62,6 +62,8 @@
 	members  *roster.Roster
 	turns    plan.Turns
 	seen     uint64
+	written  uint64
+	writeAt  time.Time
 	entered  bool
 	lost     bool
 	fetching bool
@@ -193,10 +195,14 @@
 		}
 		b.settle(now)
 		ask := b.turns.Due(now, b.members.Turn(now))
+		sides := b.changedSides(now)
 		b.mutex.Unlock()
 		if ask {
 			go b.ask(ctx)
 		}
+		if sides != nil {
+			go b.writeSides(ctx, sides)
+		}
 	}
 }
 
--- a/internal/relay/entry/packets.go
+++ b/internal/relay/entry/packets.go
@@ -196,7 +196,7 @@
 		}
 	}
 	for _, h := range r.Sides {
-		if b.members.Side(h) == nil {
+		if b.members.NameSide(now, h) {
 			b.send(h, hello)
 		}
 	}
--- a/internal/relay/entry/serve.go
+++ b/internal/relay/entry/serve.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/relay/guide"
 	"github.com/clementinewing/clementinewing/internal/world/link"
 )
@@ -96,6 +97,7 @@
 		Str("why", a.Why.String()).
 		Str("to", a.To.String()).
 		Int("candidates", len(a.Carry.List)).
+		Bool("settled", a.Carry.Flags&frame.Settled != 0).
 		Uint64("plan_revision", b.held.Revision()).
 		Msg("packet sent on")
 }
--- a/internal/relay/entry/store.go
+++ b/internal/relay/entry/store.go
@@ -16,6 +16,7 @@
 	"github.com/clementinewing/clementinewing/internal/board/retry"
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/relay/plan"
+	"github.com/clementinewing/clementinewing/internal/relay/roster"
 )
 
 const (
@@ -92,7 +93,22 @@
 			b.send(h, hello)
 		}
 	}
+	for _, h := range c.Sides {
+		if b.members.NameSide(asked, h) {
+			b.send(h, hello)
+		}
+	}
+	if len(c.Sides) > 0 {
+		b.guide.Settle(time.Now())
+	}
+	b.written = roster.Digest(c.Sides)
 	b.mutex.Unlock()
+	b.log.Trouble.Info().
+		Int("balancers", len(c.Balancers)).
+		Int("side_processes", len(c.Sides)).
+		Uint64("store_revision", c.Revision).
+		Int64("after_ms", time.Since(b.started).Milliseconds()).
+		Msg("store read")
 	if c.Plan != nil {
 		b.adopt(c.Plan, "store")
 	}
@@ -106,6 +122,40 @@
 	return true
 }
 
+// writeEvery is how often at most a change of the side processes is written down.
+const writeEvery = time.Second
+
+// changedSides gives the side processes to write down, if this balancer does that
+// for all and they differ from what was written last.
+func (b *Balancer) changedSides(now time.Time) []frame.Host {
+	if now.Before(b.writeAt) || b.members.Turn(now) != 0 || b.leaving || b.held.Current() == nil {
+		return nil
+	}
+	b.writeAt = now.Add(writeEvery)
+	sides := b.members.Sides()
+	if len(sides) == 0 || roster.Digest(sides) == b.written || b.members.Isolated(now) || !b.members.Complete(now) {
+		return nil
+	}
+	return sides
+}
+
+// writeSides writes down who is there, for balancers that start after everybody
+// has lost power.
+func (b *Balancer) writeSides(ctx context.Context, sides []frame.Host) {
+	asked := time.Now()
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	err := b.store.WriteSides(call, sides)
+	b.answered(asked, err)
+	if err != nil {
+		return
+	}
+	b.log.Trouble.Info().Int("side_processes", len(sides)).Msg("side processes written down")
+	b.mutex.Lock()
+	b.written = roster.Digest(sides)
+	b.mutex.Unlock()
+}
+
 // enter puts this balancer into the store's directory, where processes that know
 // no other look for it.
 func (b *Balancer) enter(ctx context.Context) {
--- a/internal/relay/frame/codec.go
+++ b/internal/relay/frame/codec.go
@@ -21,7 +21,7 @@
 	case *Carry:
 		return appendCarry(out, m)
 	case Stray:
-		out = append(out, magic, version, kindStray, flag(m.Sure, bitOne)|flag(m.Walked, bitTwo))
+		out = append(out, magic, version, kindStray, flag(m.Sure, bitOne)|flag(m.Walked, bitTwo), m.Reason)
 		out = order.AppendUint32(out, uint32(m.Host))
 		return append(out, m.Packet...)
 	case Owner:
@@ -192,6 +192,7 @@
 	m := Stray{
 		Sure:   bits&bitOne != 0,
 		Walked: bits&bitTwo != 0,
+		Reason: r.byte(),
 		Host:   r.host(),
 	}
 	m.Packet = r.rest
--- a/internal/relay/frame/frame.go
+++ b/internal/relay/frame/frame.go
@@ -99,10 +99,12 @@
 	Packet []byte
 }
 
-// Stray is a packet that comes back to the balancer because its flow was not
-// found.
+// Stray is a packet that comes back to the balancer: its flow was not found, or
+// it is an opening that no candidate takes.
 type Stray struct {
 	Host Host
+	// Reason is why the last candidate did not take it, as the sender counts.
+	Reason uint8
 	// Sure tells that the flow is with none of those asked; otherwise one of
 	// them did not answer or the list was not complete.
 	Sure bool
--- a/internal/relay/guide/guide.go
+++ b/internal/relay/guide/guide.go
@@ -8,6 +8,7 @@
 package guide
 
 import (
+	"slices"
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
@@ -31,10 +32,16 @@
 	// ownerKeep is how long an owner is kept after the flow's last packet. Flows
 	// idle for longer may be discarded.
 	ownerKeep = 30 * time.Second
-	// deniedFor is how long every endpoint has to deny a flow until it is reset,
-	// so that a member that is not known yet can be heard of meanwhile: two
-	// reports and their delay, and two retransmissions of the caller.
-	deniedFor = 700 * time.Millisecond
+	// askAgainAfter is how long after every endpoint has denied a flow they are
+	// asked once more before it is reset: an owner that was missed because a
+	// datagram was lost, or that was just joining, is found by then.
+	askAgainAfter = 150 * time.Millisecond
+	// settledAfter is how long after its start a balancer takes what it knows of
+	// the members for complete if nobody told it who they are: two reports of a
+	// side process.
+	settledAfter = 600 * time.Millisecond
+	// mostAsked bounds the packets kept to be asked for again.
+	mostAsked = 2048
 	// startGrace is how long a balancer that knows no endpoint leaves openings
 	// unanswered instead of refusing them; the caller's copies come meanwhile.
 	startGrace = 1300 * time.Millisecond
@@ -114,8 +121,17 @@
 	service  pact.ServiceID
 	keep     time.Time
 	opening  *opening
-	// deniedAt is since when every endpoint denies the flow.
-	deniedAt time.Time
+	// denied is kept while the flow is asked for a second time.
+	denied *denial
+}
+
+// denial is a packet whose flow every endpoint has denied once.
+type denial struct {
+	key    link.Key
+	packet link.Packet
+	raw    []byte
+	due    time.Time
+	asked  bool
 }
 
 type owner struct {
@@ -145,8 +161,11 @@
 	held    *plan.Held
 	flows   map[link.Key]*entry
 	waiting []*opening
-	sweepAt time.Time
-	out     []Action
+	denials []*denial
+	// settledAt is from when on the members known are taken for complete.
+	settledAt time.Time
+	sweepAt   time.Time
+	out       []Action
 }
 
 // New makes a guide; started is when the balancer did.
@@ -158,6 +177,16 @@
 		members: members,
 		held:    held,
 		flows:   map[link.Key]*entry{},
+
+		settledAt: started.Add(settledAfter),
+	}
+}
+
+// Settle tells that the members have been named, so that from now on the balancer
+// knows whom it has not heard yet.
+func (g *Guide) Settle(now time.Time) {
+	if now.Before(g.settledAt) {
+		g.settledAt = now
 	}
 }
 
@@ -209,7 +238,7 @@
 		x.opening = nil
 	}
 	host := x.ownerOf(p.Packet)
-	if host == 0 {
+	if host == 0 || g.lostTo(now, host) {
 		g.lookup(now, p.Packet, p.Raw, 0, false)
 		return
 	}
@@ -229,6 +258,13 @@
 	})
 }
 
+// lostTo tells whether an owner has been silent for so long that its flows are
+// looked for elsewhere, and ended if nobody has them.
+func (g *Guide) lostTo(now time.Time, h frame.Host) bool {
+	s := g.members.Side(h)
+	return s != nil && !s.MayOwn(now, true) || s != nil && !s.MayOwn(now, false) && !g.members.Isolated(now)
+}
+
 // ownerOf picks the owner whose first sequence number the packet acknowledges,
 // where two endpoints answered the same opening.
 func (x *entry) ownerOf(p link.Packet) frame.Host {
@@ -308,18 +344,19 @@
 	count := 0
 	hash := key.Hash()
 	first := route.Choose(hash)
-	list = place.Lookup(now, hash, g.members.Service(first))
+	isolated := g.members.Isolated(now)
+	list = place.Lookup(now, hash, isolated, g.members.Service(first))
 	count = len(list)
 	for i := range route.Parts {
 		if route.Parts[i].Service == first {
 			continue
 		}
-		more := place.Lookup(now, hash, g.members.Service(route.Parts[i].Service))
+		more := place.Lookup(now, hash, isolated, g.members.Service(route.Parts[i].Service))
 		count += len(more)
 		list = append(list, more...)
 	}
 	list = list[:min(len(list), frame.MaxList)]
-	settled = count <= frame.MaxList && now.After(g.members.GainedAt().Add(deniedFor)) && now.After(g.started.Add(startGrace))
+	settled = count <= frame.MaxList && !isolated && g.members.Complete(now) && !now.Before(g.settledAt)
 	return list, settled
 }
 
@@ -354,7 +391,7 @@
 	}
 	x.keep = now.Add(ownerKeep)
 	x.opening = nil
-	x.deniedAt = time.Time{}
+	x.denied = nil
 	next := owner{
 		host:    o.Host,
 		initial: o.Initial,
@@ -386,6 +423,10 @@
 	g.members.Alive(e.Host)
 	p := e.Packet
 	x, ok := g.flows[p.Key]
+	if p.Kind == link.Opening {
+		g.rejected(x, e)
+		return
+	}
 	if !e.Walked {
 		g.denied(now, x, e)
 		return
@@ -403,23 +444,62 @@
 		}
 	}
 	x.keep = now.Add(openingKeep)
-	if x.deniedAt.IsZero() {
-		x.deniedAt = now
-	}
-	if now.Before(x.deniedAt.Add(deniedFor)) {
-		g.add(Drop{
+	if x.denied != nil && x.denied.asked {
+		delete(g.flows, p.Key)
+		g.add(Reset{
 			Packet: p,
-			Why:    OwnerUnknown,
+			Why:    AllDenied,
 		})
 		return
 	}
-	delete(g.flows, p.Key)
-	g.add(Reset{
+	g.add(Drop{
 		Packet: p,
-		Why:    AllDenied,
+		Why:    OwnerUnknown,
+	})
+	if x.denied != nil || len(g.denials) >= mostAsked {
+		return
+	}
+	x.denied = &denial{
+		key:    p.Key,
+		packet: p,
+		raw:    slices.Clone(e.Stray.Packet),
+		due:    now.Add(askAgainAfter),
+	}
+	g.denials = append(g.denials, x.denied)
+}
+
+// rejected refuses an opening that no candidate takes, unless another copy of it
+// has been accepted meanwhile.
+func (g *Guide) rejected(x *entry, e Return) {
+	if x == nil || x.opening == nil || x.sequence != e.Packet.Sequence {
+		g.add(Drop{
+			Packet: e.Packet,
+			Why:    AllRejected,
+		})
+		return
+	}
+	delete(g.flows, e.Packet.Key)
+	g.add(Refuse{
+		Packet: e.Packet,
+		Why:    AllRejected,
 	})
 }
 
+// askAgain looks a second time for flows that every endpoint has denied.
+func (g *Guide) askAgain(now time.Time) {
+	for len(g.denials) > 0 && !now.Before(g.denials[0].due) {
+		d := g.denials[0]
+		g.denials = g.denials[1:]
+		if x, ok := g.flows[d.key]; ok && x.denied == d {
+			d.asked = true
+			g.lookup(now, d.packet, d.raw, 0, false)
+		}
+	}
+	if len(g.denials) == 0 {
+		g.denials = nil
+	}
+}
+
 // denied takes a packet back from the endpoint that was believed to own its flow.
 // If that endpoint had owned it and is sure that it does not any more, it started
 // anew and the flow is lost. Otherwise the owner is somebody else.
@@ -460,6 +540,7 @@
 const sweepEvery = 2 * time.Second
 
 func (g *Guide) tick(now time.Time) {
+	g.askAgain(now)
 	kept := g.waiting[:0]
 	for _, o := range g.waiting {
 		x, ok := g.flows[o.key]
--- a/internal/relay/guide/reason.go
+++ b/internal/relay/guide/reason.go
@@ -25,6 +25,8 @@
 	Starting
 	// TableFull: too many flows are remembered.
 	TableFull
+	// AllRejected: no candidate took the opening.
+	AllRejected
 	// OwnerUnknown: no endpoint said that the flow is its own.
 	OwnerUnknown
 	// AllDenied: every endpoint has denied the flow for long enough.
@@ -46,6 +48,7 @@
 	NoEndpoint:     "no_endpoint",
 	Starting:       "starting",
 	TableFull:      "table_full",
+	AllRejected:    "all_rejected",
 	OwnerUnknown:   "owner_unknown",
 	AllDenied:      "all_denied",
 	OwnerRestarted: "owner_restarted",
--- a/internal/relay/hold/arrive.go
+++ b/internal/relay/hold/arrive.go
@@ -50,7 +50,7 @@
 		h.tell(f, p.Key)
 		return
 	}
-	if why, passes := h.passesOn(c); passes {
+	if why, passes := h.passesOn(now, c); passes {
 		h.next(p, c, why)
 		return
 	}
@@ -65,6 +65,9 @@
 		balancer: c.Balancer,
 		home:     c.Home,
 		queued:   queued,
+
+		sent:      p.Sequence + p.Length(),
+		sentKnown: true,
 	}
 	h.use(f, phaseOpening)
 	h.flows[p.Key] = f
@@ -74,7 +77,7 @@
 // passesOn tells why the endpoint does not take an opening, if it does not. An
 // endpoint with every slot in use takes it only if it is the least loaded of all
 // that were asked.
-func (h *Hold) passesOn(c *frame.Carry) (why Reason, passes bool) {
+func (h *Hold) passesOn(now time.Time, c *frame.Carry) (why Reason, passes bool) {
 	e := &h.endpoint
 	switch {
 	case c.Service != h.service:
@@ -83,6 +86,8 @@
 		return Leaving, true
 	case e.state() != node.Serving:
 		return NotServing, true
+	case now.Before(e.refusesUntil):
+		return EndpointRefused, true
 	case len(h.flows) >= mostFlows:
 		return TableFull, true
 	case !e.proven && h.inUse > 0:
@@ -107,33 +112,17 @@
 }
 
 // next asks the next candidate. An opening that all have passed on goes to the
-// least loaded of them, or is refused; a flow that all have denied goes back to
-// its balancer.
+// least loaded of them, else back to its balancer, as does a packet of a flow that
+// all have denied.
 func (h *Hold) next(p link.Packet, c *frame.Carry, why Reason) {
 	switch {
 	case c.Flags&frame.Chosen == 0 && int(c.Position)+1 < len(c.List):
 		c.Position++
-	case p.Kind != link.Opening:
-		h.add(GiveBack{
-			To: c.Balancer,
-			Stray: frame.Stray{
-				Host:   h.self,
-				Sure:   c.Flags&frame.Settled != 0 && c.Flags&frame.Unsure == 0,
-				Walked: true,
-				Packet: c.Packet,
-			},
-			Key: p.Key,
-			Why: why,
-		})
-		return
-	case c.Flags&frame.Chosen == 0 && c.Best != frame.NoBest && int(c.Best) < len(c.List):
+	case p.Kind == link.Opening && c.Flags&frame.Chosen == 0 && int(c.Best) < len(c.List):
 		c.Flags |= frame.Chosen
 		c.Position = c.Best
 	default:
-		h.add(Refuse{
-			Packet: p,
-			Why:    why,
-		})
+		h.giveBack(p, c, why, true)
 		return
 	}
 	if c.List[c.Position] == h.self && c.Flags&frame.Chosen == 0 {
@@ -149,6 +138,23 @@
 	})
 }
 
+// giveBack returns a packet to its balancer. It is sure if no candidate that was
+// asked was silent, and if the list was complete where all of it was asked.
+func (h *Hold) giveBack(p link.Packet, c *frame.Carry, why Reason, walked bool) {
+	h.add(GiveBack{
+		To: c.Balancer,
+		Stray: frame.Stray{
+			Host:   h.self,
+			Reason: uint8(why),
+			Sure:   c.Flags&frame.Unsure == 0 && (!walked || c.Flags&frame.Settled != 0),
+			Walked: walked,
+			Packet: c.Packet,
+		},
+		Key: p.Key,
+		Why: why,
+	})
+}
+
 // deliver takes a packet of a flow that exists somewhere.
 func (h *Hold) deliver(now time.Time, p link.Packet, c *frame.Carry) {
 	f, ok := h.flows[p.Key]
@@ -175,16 +181,7 @@
 // notHere passes on a packet whose flow is not the endpoint's.
 func (h *Hold) notHere(p link.Packet, c *frame.Carry, why Reason) {
 	if c.Flags&frame.Cached != 0 {
-		h.add(GiveBack{
-			To: c.Balancer,
-			Stray: frame.Stray{
-				Host:   h.self,
-				Sure:   c.Flags&frame.Unsure == 0,
-				Packet: c.Packet,
-			},
-			Key: p.Key,
-			Why: why,
-		})
+		h.giveBack(p, c, why, false)
 		return
 	}
 	h.redirect(p, c)
@@ -241,26 +238,38 @@
 	ask := m.ask
 	m.ask = 0
 	f, ok := h.flows[b.Packet.Key]
-	switch {
-	case b.Packet.Kind == link.Opening:
+	if b.Packet.Kind == link.Opening {
 		if ok && f.phase == phaseOpening {
 			h.use(f, phaseIdle)
 			delete(h.flows, b.Packet.Key)
 		}
-		c.Flags &^= frame.Chosen
-		h.next(b.Packet, c, EndpointRefused)
-	default:
-		if ok && ask == askOwned {
-			h.use(f, phaseIdle)
-			delete(h.flows, b.Packet.Key)
-		}
-		h.notHere(b.Packet, c, EndpointDenied)
+		h.rejected(now)
+		h.retry(b.Packet, c, EndpointRefused)
+		return
+	}
+	if ok && ask == askOwned {
+		h.use(f, phaseIdle)
+		delete(h.flows, b.Packet.Key)
 	}
-	_ = now
+	h.notHere(b.Packet, c, EndpointDenied)
+}
+
+// retry passes on an opening that the endpoint did not take after all. One that
+// was given to the least loaded candidate has been offered to every other.
+func (h *Hold) retry(p link.Packet, c *frame.Carry, why Reason) {
+	if c.Flags&frame.Chosen != 0 {
+		c.Best = frame.NoBest
+	}
+	h.next(p, c, why)
 }
 
 // overdue passes over the endpoint where it has not answered in time.
 func (h *Hold) overdue(now time.Time) {
+	if now.Sub(h.tickAt) > lateTick {
+		// This process did not run for a while: answers may be waiting to be
+		// read. They come before the next tick.
+		return
+	}
 	for len(h.timed) > 0 {
 		number := h.timed[0]
 		m := &h.marks[number%markSlots]
@@ -290,8 +299,7 @@
 		h.use(f, phaseIdle)
 		delete(h.flows, m.key)
 		h.mute(OpeningUnanswered)
-		c.Flags &^= frame.Chosen
-		h.next(m.packet, c, OpeningUnanswered)
+		h.retry(m.packet, c, OpeningUnanswered)
 		return
 	}
 	if ok {
--- a/internal/relay/hold/endpoint.go
+++ b/internal/relay/hold/endpoint.go
@@ -16,13 +16,19 @@
 	// reported tells that it has reported in this process's life.
 	reported bool
 	draining bool
-	gone     bool
+	// gone tells that it has ended, left that it said so itself.
+	gone bool
+	left bool
 	// leaving tells that this process is to end.
 	leaving bool
 	// proven tells that something has come from it in this process's life.
 	proven bool
 	// mute tells that it left an opening unanswered since it was last heard.
 	mute bool
+	// refuses tells that it returned an opening before its first report, and
+	// refusesUntil how long one that has reported is not asked again.
+	refuses      bool
+	refusesUntil time.Time
 	// waits tells that no flow is given to it before its first report.
 	waits bool
 	// complete tells that every flow it may hold has passed this process.
@@ -37,7 +43,7 @@
 		return node.Gone
 	case e.draining || e.leaving:
 		return node.Draining
-	case e.mute || e.waits && !e.reported:
+	case e.mute || e.refuses || e.waits && !e.reported:
 		return node.Joining
 	default:
 		return node.Serving
@@ -67,9 +73,11 @@
 	if r.Born > e.born {
 		h.reborn(r)
 	}
-	if e.gone && r.ID == e.id {
+	if e.left && r.ID == e.id {
 		return
 	}
+	e.gone = false
+	e.left = false
 	e.id = r.ID
 	e.sequence = r.Sequence
 	e.slots = max(r.Slots, 1)
@@ -78,6 +86,7 @@
 	e.reported = true
 	e.proven = true
 	e.mute = false
+	e.refuses = false
 	h.service = pact.Identify(r.Service)
 	h.changed(before, EndpointReport)
 }
@@ -96,6 +105,36 @@
 	e.sequence = 0
 	e.draining = false
 	e.gone = false
+	e.left = false
+	e.refuses = false
+	e.refusesUntil = time.Time{}
+}
+
+// refusedFor is how long an endpoint that returned an opening is not given
+// another: it is full for about the time that one request takes.
+const refusedFor = 60 * time.Millisecond
+
+// rejected notes that the endpoint returned an opening.
+func (h *Hold) rejected(now time.Time) {
+	e := &h.endpoint
+	e.refusesUntil = now.Add(refusedFor)
+	if e.reported {
+		return
+	}
+	before := e.state()
+	e.refuses = true
+	h.changed(before, EndpointRefused)
+}
+
+// dead notes that nothing listens where the endpoint was: its flows are gone.
+func (h *Hold) dead() {
+	e := &h.endpoint
+	before := e.state()
+	clear(h.flows)
+	h.inUse = 0
+	e.gone = true
+	e.complete = true
+	h.changed(before, NotListening)
 }
 
 func (h *Hold) left(id string) {
@@ -105,6 +144,7 @@
 		return
 	}
 	e.gone = true
+	e.left = true
 	e.id = id
 	h.changed(before, EndpointLeft)
 }
--- a/internal/relay/hold/flow.go
+++ b/internal/relay/hold/flow.go
@@ -34,6 +34,9 @@
 	highest uint32
 	known   bool
 	queued  bool
+	// sent is the end of what the caller has sent, from where sentKnown.
+	sent      uint32
+	sentKnown bool
 	// balancer and home hear of the owner.
 	balancer frame.Host
 	home     frame.Host
@@ -75,7 +78,7 @@
 // fromCaller follows a packet that goes to the endpoint.
 func (h *Hold) fromCaller(now time.Time, f *flow, p link.Packet, raw []byte) {
 	f.keep = now.Add(flowKeep)
-	if p.Payload > 0 && f.phase != phaseBusy && f.fins == 0 {
+	if f.advances(p) && f.phase != phaseBusy && f.fins == 0 {
 		h.add(Began{
 			Key: p.Key,
 			Raw: raw,
@@ -91,6 +94,18 @@
 	}
 }
 
+// advances tells whether a packet of the caller brings bytes that it has not sent
+// before: a repeated packet is no new request.
+func (f *flow) advances(p link.Packet) bool {
+	end := p.Sequence + p.Length()
+	if f.sentKnown && int32(end-f.sent) <= 0 {
+		return false
+	}
+	f.sent = end
+	f.sentKnown = true
+	return p.Payload > 0
+}
+
 // end notes that an end of the flow has closed; a flow with both closed is kept a
 // while for what is under way.
 func (h *Hold) end(now time.Time, f *flow, fin uint8) {
@@ -159,6 +174,7 @@
 		h.tell(f, p.Key)
 		return
 	}
+	h.endpoint.refuses = false
 	f.known = true
 	f.initial = p.Sequence
 	f.highest = p.Sequence + 1
--- a/internal/relay/hold/hold.go
+++ b/internal/relay/hold/hold.go
@@ -42,7 +42,7 @@
 	// hand before new flows are refused: with the work of these services it is
 	// some 300 ms of waiting, which no other endpoint can offer either when all
 	// candidates are as full.
-	queueFactor = 5
+	queueFactor = 2
 	// averageOver is the time constant of the average load: it spans a few
 	// requests of a long flow.
 	averageOver = 2 * time.Second
@@ -114,6 +114,10 @@
 // Tick is due every TickEvery.
 type Tick struct{}
 
+// lateTick is the gap between ticks after which nothing is overdue: the process
+// was kept from running, not the endpoint.
+const lateTick = 100 * time.Millisecond
+
 // TickEvery is the interval of ticks; it bounds how late a candidate that does
 // not answer is passed over.
 const TickEvery = 20 * time.Millisecond
@@ -129,7 +133,7 @@
 func (Unreachable) event() {}
 func (Tick) event()        {}
 
-// Action is Deliver, HandOn, GiveBack, Tell, Forward, Refuse or Note.
+// Action is Deliver, HandOn, GiveBack, Tell, Forward, Accepted, Began or Changed.
 type Action interface{ action() }
 
 // Deliver gives a packet to the endpoint; it comes back with Mark if it bounces.
@@ -167,12 +171,6 @@
 	Key link.Key
 }
 
-// Refuse answers an opening with a reset: no endpoint has run anything.
-type Refuse struct {
-	Packet link.Packet
-	Why    Reason
-}
-
 // Accepted tells that the endpoint answered an opening.
 type Accepted struct {
 	Key    link.Key
@@ -200,7 +198,6 @@
 func (GiveBack) action() {}
 func (Tell) action()     {}
 func (Forward) action()  {}
-func (Refuse) action()   {}
 func (Accepted) action() {}
 func (Began) action()    {}
 func (Changed) action()  {}
@@ -279,7 +276,7 @@
 	case Told:
 		h.told(e)
 	case Unreachable:
-		h.mute(NotListening)
+		h.dead()
 	case Tick:
 		h.tick(now)
 	}
--- a/internal/relay/place/place.go
+++ b/internal/relay/place/place.go
@@ -94,7 +94,7 @@
 // Lookup orders everybody who may own a flow: those heard lately first, and in
 // both parts by rendezvous hashing, so that balancers agree on the first, which
 // keeps the owners of flows that were placed elsewhere.
-func Lookup(now time.Time, hash uint64, sides []*roster.Side) (list []frame.Host) {
+func Lookup(now time.Time, hash uint64, isolated bool, sides []*roster.Side) (list []frame.Host) {
 	type claim struct {
 		host   frame.Host
 		silent bool
@@ -102,7 +102,7 @@
 	}
 	room := make([]claim, 0, len(sides))
 	for _, s := range sides {
-		if s.State == node.Gone {
+		if !s.MayOwn(now, isolated) {
 			continue
 		}
 		room = append(room, claim{
--- a/internal/relay/port/port.go
+++ b/internal/relay/port/port.go
@@ -49,6 +49,8 @@
 	// Plan is nil if the store holds none yet.
 	Plan      *plan.Plan
 	Balancers []frame.Host
+	// Sides are the side processes that were last written down.
+	Sides []frame.Host
 	// Revision is the store's own, which rises with each change of any item.
 	Revision uint64
 }
@@ -66,6 +68,8 @@
 	Balancers(ctx context.Context) ([]frame.Host, error)
 	// Enter puts a balancer into the directory.
 	Enter(ctx context.Context, h frame.Host, name string) error
+	// WriteSides writes down the side processes that are there.
+	WriteSides(ctx context.Context, sides []frame.Host) error
 	// Remove takes balancers out of the directory.
 	Remove(ctx context.Context, hosts []frame.Host) error
 }
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -24,9 +24,20 @@
 	// forgetAfter is how long a silent side process stays a possible owner: as
 	// long as the longest-lived flow of the platform.
 	forgetAfter = 65 * time.Second
+	// absentAfter is how long a side process has to be silent until flows are
+	// looked for without it. A planned restart takes about a second; a request
+	// that waits for longer than this has missed its deadline anyway.
+	absentAfter = 2500 * time.Millisecond
+	// isolatedShare is the share of side processes that have to be heard for
+	// silence to say something about the others and not about this balancer.
+	isolatedShare = 0.5
 	// goneAfter is how long an endpoint that left stays known, so that a late
 	// report is recognised.
 	goneAfter = 10 * time.Second
+	// joinedFor is how long after the last one joined the members count as
+	// complete: one report, which every side process sends to every balancer,
+	// and its delay.
+	joinedFor = 300 * time.Millisecond
 	// dropBalancer is how long a silent balancer stays known.
 	dropBalancer = 15 * time.Second
 	// aliveFor is how fresh a pulse is of a balancer that shares turns.
@@ -58,7 +69,10 @@
 	sides     map[frame.Host]*Side
 	balancers map[frame.Host]*Balancer
 	services  map[pact.ServiceID][]*Side
-	gainedAt  time.Time
+	// named are side processes that another balancer knows and this one has not
+	// heard, with the time until which that counts.
+	named    map[frame.Host]time.Time
+	gainedAt time.Time
 }
 
 // New makes a roster of the balancer at self.
@@ -68,6 +82,7 @@
 		sides:     map[frame.Host]*Side{},
 		balancers: map[frame.Host]*Balancer{},
 		services:  map[pact.ServiceID][]*Side{},
+		named:     map[frame.Host]time.Time{},
 	}
 }
 
@@ -84,7 +99,10 @@
 	if !ok {
 		s = &Side{}
 		r.sides[l.Host] = s
-		r.gainedAt = now
+		if _, expected := r.named[l.Host]; !expected {
+			r.gainedAt = now
+		}
+		delete(r.named, l.Host)
 	}
 	changed = !ok || s.State != l.State || s.Service != l.Service || s.Born != l.Born || s.Proven != l.Proven
 	move := !ok || s.Service != l.Service
@@ -136,11 +154,6 @@
 	return r.services[id]
 }
 
-// GainedAt is when the last possible owner of flows was added.
-func (r *Roster) GainedAt() time.Time {
-	return r.gainedAt
-}
-
 // Silent tells whether the side process has missed its reports.
 func (s *Side) Silent(now time.Time) bool {
 	return now.After(s.HeardAt.Add(silentAfter))
@@ -151,9 +164,65 @@
 	return s.State == node.Serving && !s.Silent(now)
 }
 
-// Sides gives the hosts of all side processes.
-func (r *Roster) Sides() []frame.Host {
-	return hosts(r.sides)
+// Sides gives the hosts of the side processes whose endpoints may hold flows.
+func (r *Roster) Sides() (list []frame.Host) {
+	for h, s := range r.sides {
+		if s.State != node.Gone {
+			list = append(list, h)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// NameSide notes a side process that others know, and tells whether it has not
+// been heard here.
+func (r *Roster) NameSide(now time.Time, h frame.Host) bool {
+	if _, ok := r.sides[h]; ok {
+		return false
+	}
+	if _, ok := r.named[h]; !ok {
+		r.named[h] = now.Add(absentAfter)
+	}
+	return true
+}
+
+// Isolated tells whether this balancer hears so few side processes that their
+// silence may be its own.
+func (r *Roster) Isolated(now time.Time) bool {
+	known, heard := len(r.named), 0
+	for _, s := range r.sides {
+		if s.State == node.Gone || s.absent(now) {
+			continue
+		}
+		known++
+		if !s.Silent(now) {
+			heard++
+		}
+	}
+	return float64(heard) < isolatedShare*float64(known) || heard == 0
+}
+
+// absent tells whether a side process has been silent for so long that it is not
+// expected back. One that never served is not waited for.
+func (s *Side) absent(now time.Time) bool {
+	if s.State == node.Joining {
+		return s.Silent(now)
+	}
+	return now.After(s.HeardAt.Add(absentAfter))
+}
+
+// MayOwn tells whether flows may be found at the endpoint. While the balancer is
+// isolated nobody is ruled out for silence.
+func (s *Side) MayOwn(now time.Time, isolated bool) bool {
+	return s.State != node.Gone && (isolated || !s.absent(now))
+}
+
+// Complete tells whether every side process that others know has been heard here,
+// and long enough ago that the last one to join is known to all.
+func (r *Roster) Complete(now time.Time) bool {
+	r.expireNamed(now)
+	return len(r.named) == 0 && now.After(r.gainedAt.Add(joinedFor))
 }
 
 // Meet takes a pulse and tells whether the balancer is new here.
@@ -239,6 +308,7 @@
 			sides = append(sides, h)
 		}
 	}
+	r.expireNamed(now)
 	for h, b := range r.balancers {
 		if now.After(b.HeardAt.Add(dropBalancer)) {
 			delete(r.balancers, h)
@@ -248,6 +318,14 @@
 	return sides, balancers
 }
 
+func (r *Roster) expireNamed(now time.Time) {
+	for h, until := range r.named {
+		if now.After(until) {
+			delete(r.named, h)
+		}
+	}
+}
+
 func hosts[T any](m map[frame.Host]T) (list []frame.Host) {
 	list = make([]frame.Host, 0, len(m))
 	for h := range m {
