--- a/internal/relay/agent/packets.go
+++ b/internal/relay/agent/packets.go
@@ -145,7 +145,7 @@
 		case hold.Changed:
 			a.logChanged(one)
 			a.reportNow()
-			if one.Why == hold.OpeningUnanswered {
+			if one.Why == hold.OpeningUnanswered || one.Why == hold.EndpointRefused {
 				go a.probe()
 			}
 		}
--- a/internal/relay/frame/codec.go
+++ b/internal/relay/frame/codec.go
@@ -47,6 +47,8 @@
 func appendCarry(out []byte, m *Carry) []byte {
 	out = append(out, magic, version, kindCarry, m.Flags, m.Position, m.Best, byte(len(m.List)))
 	out = order.AppendUint16(out, m.BestLoad)
+	out = order.AppendUint16(out, m.Aim)
+	out = append(out, m.Urgency)
 	out = order.AppendUint64(out, uint64(m.Service))
 	out = order.AppendUint32(out, uint32(m.Balancer))
 	out = order.AppendUint32(out, uint32(m.Home))
@@ -176,6 +178,8 @@
 	}
 	count := int(r.byte())
 	c.BestLoad = r.uint16()
+	c.Aim = r.uint16()
+	c.Urgency = r.byte()
 	c.Service = pact.ServiceID(r.uint64())
 	c.Balancer = r.host()
 	c.Home = r.host()
--- a/internal/relay/frame/frame.go
+++ b/internal/relay/frame/frame.go
@@ -89,7 +89,11 @@
 	// BestLoad its load in 64ths of its slots.
 	Best     uint8
 	BestLoad uint16
-	Service  pact.ServiceID
+	// Aim is the latency objective of the route in milliseconds, and Urgency its
+	// priority, 0 before others; both count for openings only.
+	Aim     uint16
+	Urgency uint8
+	Service pact.ServiceID
 	// Balancer is where hints about the owner go.
 	Balancer Host
 	// Home is the candidate that remembers the owners of flows placed elsewhere.
--- a/internal/relay/guide/guide.go
+++ b/internal/relay/guide/guide.go
@@ -147,9 +147,12 @@
 	raw    []byte
 	list   []frame.Host
 	home   frame.Host
-	sentAt time.Time
-	due    time.Time
-	tries  int
+	// aim and urgency are the route's.
+	aim     uint16
+	urgency uint8
+	sentAt  time.Time
+	due     time.Time
+	tries   int
 }
 
 // Guide decides for one balancer. Calls are made by one goroutine at a time.
--- a/internal/relay/guide/open.go
+++ b/internal/relay/guide/open.go
@@ -1,6 +1,7 @@
 package guide
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -83,13 +84,15 @@
 	x.sequence = p.Sequence
 	x.service = service
 	x.opening = &opening{
-		key:    p.Key,
-		packet: p.Packet,
-		raw:    slices.Clone(p.Raw),
-		list:   list,
-		home:   place.Home(now, hash, g.members.Service(service)),
-		sentAt: now,
-		due:    now.Add(answerWithin),
+		key:     p.Key,
+		packet:  p.Packet,
+		raw:     slices.Clone(p.Raw),
+		list:    list,
+		home:    place.Home(now, hash, g.members.Service(service)),
+		aim:     uint16(min(route.Aim.Milliseconds(), math.MaxUint16)),
+		urgency: route.Urgency,
+		sentAt:  now,
+		due:     now.Add(answerWithin),
 	}
 	g.waiting = append(g.waiting, x.opening)
 	g.sendOpening(x, x.opening, Placed)
@@ -122,6 +125,8 @@
 		Why:  why,
 		Carry: &frame.Carry{
 			Best:     frame.NoBest,
+			Aim:      o.aim,
+			Urgency:  o.urgency,
 			Service:  x.service,
 			Balancer: g.self,
 			Home:     o.home,
--- a/internal/relay/hold/arrive.go
+++ b/internal/relay/hold/arrive.go
@@ -50,15 +50,32 @@
 		h.tell(f, p.Key)
 		return
 	}
+	if w, waits := h.waiting[p.Key]; waits && w.packet.Sequence == p.Sequence {
+		w.carry.Balancer = c.Balancer
+		h.tellWaiting(w)
+		return
+	}
 	if why, passes := h.passesOn(now, c); passes {
 		h.next(p, c, why)
 		return
 	}
-	if ok {
+	if h.inUse >= h.room() {
+		if len(h.waiting) >= mostWaiting {
+			h.next(p, c, QueueFull)
+			return
+		}
+		h.wait(now, p, c)
+		return
+	}
+	h.admit(now, p, c, false)
+}
+
+// admit gives an opening to the endpoint.
+func (h *Hold) admit(now time.Time, p link.Packet, c *frame.Carry, queued bool) {
+	if f, ok := h.flows[p.Key]; ok {
 		h.use(f, phaseIdle)
 	}
-	queued := h.inUse >= int(h.endpoint.slots)
-	f = &flow{
+	f := &flow{
 		since:    now,
 		keep:     now.Add(closedKeep),
 		sequence: p.Sequence,
@@ -92,9 +109,7 @@
 		return TableFull, true
 	case !e.proven && h.inUse > 0:
 		return Unproven, true
-	case h.inUse >= int(e.slots)*queueFactor:
-		return QueueFull, true
-	case h.inUse >= int(e.slots) && c.Flags&frame.Chosen == 0:
+	case h.inUse >= h.room() && c.Flags&frame.Chosen == 0:
 		h.consider(c)
 		return SlotsFull, true
 	default:
@@ -102,9 +117,16 @@
 	}
 }
 
+// room is how many requests and openings the endpoint is given at once: one more
+// than it has slots, since a caller's request comes a round trip after its
+// opening is answered and the slot would be idle meanwhile.
+func (h *Hold) room() int {
+	return int(h.endpoint.slots) + 1
+}
+
 // consider notes this candidate as the least loaded of those that were asked.
 func (h *Hold) consider(c *frame.Carry) {
-	load := uint16(min(h.inUse*loadUnit/int(h.endpoint.slots), 0xffff))
+	load := uint16(min((h.inUse+len(h.waiting))*loadUnit/int(h.endpoint.slots), 0xffff))
 	if c.Best == frame.NoBest || load < c.BestLoad {
 		c.Best = c.Position
 		c.BestLoad = load
--- a/internal/relay/hold/flow.go
+++ b/internal/relay/hold/flow.go
@@ -146,6 +146,9 @@
 		f.highest = end
 	}
 	if p.Payload > 0 && f.phase != phaseIdle {
+		if f.phase == phaseBusy {
+			h.worked(now.Sub(f.since))
+		}
 		h.use(f, phaseIdle)
 	}
 	if p.IsReset() {
--- a/internal/relay/hold/hold.go
+++ b/internal/relay/hold/hold.go
@@ -38,11 +38,6 @@
 	mostElsewhere = 50_000
 	// markSlots is how many packets in the endpoint's hands are remembered.
 	markSlots = 1 << 11
-	// queueFactor is how many requests for each slot an endpoint may have in
-	// hand before new flows are refused: with the work of these services it is
-	// some 300 ms of waiting, which no other endpoint can offer either when all
-	// candidates are as full.
-	queueFactor = 2
 	// averageOver is the time constant of the average load: it spans a few
 	// requests of a long flow.
 	averageOver = 2 * time.Second
@@ -211,8 +206,12 @@
 	flows    map[link.Key]*flow
 	// elsewhere holds owners of flows that are looked for here first.
 	elsewhere map[link.Key]place
-	marks     [markSlots]mark
-	nextMark  uint32
+	// waiting are openings that wait for a free slot.
+	waiting map[link.Key]*waiter
+	// work is how long the endpoint takes over a request.
+	work     time.Duration
+	marks    [markSlots]mark
+	nextMark uint32
 	// timed are the marks that have a deadline, oldest first.
 	timed   []uint32
 	inUse   int
@@ -247,6 +246,8 @@
 		service:   pact.Identify(service),
 		flows:     map[link.Key]*flow{},
 		elsewhere: map[link.Key]place{},
+		waiting:   map[link.Key]*waiter{},
+		work:      firstWork,
 	}
 	h.endpoint.slots = 1
 	for _, o := range options {
@@ -280,6 +281,7 @@
 	case Tick:
 		h.tick(now)
 	}
+	h.serveWaiting(now)
 	return h.out
 }
 
@@ -297,7 +299,7 @@
 		Proven:  e.proven,
 		Born:    e.born,
 		Slots:   e.slots,
-		InUse:   uint16(min(h.inUse, 0xffff)),
+		InUse:   uint16(min(h.inUse+len(h.waiting), 0xffff)),
 		Average: uint16(min(h.average*loadUnit, 0xffff)),
 		Flows:   uint16(min(len(h.flows), 0xffff)),
 		Cold:    uint16(max(0, min(e.coldUntil.Sub(now).Milliseconds(), 0xffff))),
--- a/internal/relay/hold/reason.go
+++ b/internal/relay/hold/reason.go
@@ -17,8 +17,10 @@
 	TableFull
 	// SlotsFull: every slot of the endpoint is in use.
 	SlotsFull
-	// QueueFull: the endpoint has as much in hand as it can finish in time.
+	// QueueFull: as many openings wait for a slot as can be served in time.
 	QueueFull
+	// WaitedLong: the opening waited for a slot until its caller gave up.
+	WaitedLong
 	// UnknownFlow: the endpoint does not hold the flow.
 	UnknownFlow
 	// EndpointRefused: the endpoint returned the opening.
@@ -51,6 +53,7 @@
 	TableFull:         "table_full",
 	SlotsFull:         "slots_full",
 	QueueFull:         "queue_full",
+	WaitedLong:        "waited_long",
 	UnknownFlow:       "unknown_flow",
 	EndpointRefused:   "endpoint_refused",
 	EndpointDenied:    "endpoint_denied",
--- /dev/null
+++ b/internal/relay/hold/wait.go
@@ -0,0 +1,143 @@
+package hold
+
+import (
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+)
+
+// Openings wait here and not in the endpoint's own queue, which is first come,
+// first served. The load this answers: after an outage everybody returns at once,
+// more than the slots can take for a second or two, and with a plain queue every
+// request is late by the length of the queue, those that came last too. Here a
+// request that can still meet its objective goes before one that cannot, and
+// those that are late anyway get what is left. None is dropped for it before its
+// caller gives up.
+const (
+	// mostWaiting bounds the openings that wait: a second's worth of the busiest
+	// endpoints seen, with 7 slots and 60 ms a request.
+	mostWaiting = 120
+	// waitMost is how long an opening waits at most. Callers give up 1.4 s after
+	// an opening; this is just before.
+	waitMost = 1300 * time.Millisecond
+	// firstWork is what a request takes until one has been seen.
+	firstWork = 60 * time.Millisecond
+	// workShare is the weight of one request in the average.
+	workShare = 1.0 / 16
+	// workMargin is how often the average work has to fit into the time that is
+	// left: work varies by half, and the answer has to travel.
+	workMargin = 1.5
+)
+
+// waiter is one opening that waits for a slot.
+type waiter struct {
+	packet link.Packet
+	carry  *frame.Carry
+	since  time.Time
+	// until is when a request has to begin to meet its objective.
+	until time.Time
+}
+
+// worked takes the time from a request to the first byte of its answer.
+func (h *Hold) worked(took time.Duration) {
+	h.work += time.Duration(float64(took-h.work) * workShare)
+}
+
+// wait lets an opening wait for a slot.
+func (h *Hold) wait(now time.Time, p link.Packet, c *frame.Carry) {
+	kept := *c
+	kept.Packet = append([]byte(nil), c.Packet...)
+	aim := time.Duration(c.Aim) * time.Millisecond
+	w := &waiter{
+		packet: p,
+		carry:  &kept,
+		since:  now,
+		until:  now.Add(aim - time.Duration(workMargin*float64(h.work)) - copyAge(p)),
+	}
+	h.waiting[p.Key] = w
+	h.tellWaiting(w)
+}
+
+// copyAge is how long ago the caller first sent an opening, of which it sends
+// copies; their number stands where other packets acknowledge.
+func copyAge(p link.Packet) time.Duration {
+	switch p.Acknowledgment {
+	case 0:
+		return 0
+	case 1:
+		return 200 * time.Millisecond
+	default:
+		return 600 * time.Millisecond
+	}
+}
+
+// tellWaiting tells the balancer where an opening waits, so that it does not give
+// it to others.
+func (h *Hold) tellWaiting(w *waiter) {
+	h.add(Tell{
+		To: w.carry.Balancer,
+		Owner: frame.Owner{
+			Key:  w.packet.Key,
+			Host: h.self,
+		},
+	})
+}
+
+// serveWaiting gives slots that are free to those that wait.
+func (h *Hold) serveWaiting(now time.Time) {
+	if len(h.waiting) == 0 {
+		return
+	}
+	for key, w := range h.waiting {
+		if now.After(w.since.Add(waitMost)) {
+			delete(h.waiting, key)
+			h.giveBack(w.packet, w.carry, WaitedLong, true)
+		}
+	}
+	for len(h.waiting) > 0 {
+		w := h.nextWaiting(now)
+		why, passes := h.passesOn(now, w.carry)
+		if !passes && h.inUse >= h.room() {
+			return
+		}
+		delete(h.waiting, w.packet.Key)
+		if !passes {
+			h.admit(now, w.packet, w.carry, true)
+			continue
+		}
+		// The endpoint takes no more openings: ask all others again.
+		w.carry.Flags &^= frame.Chosen
+		w.carry.Best = frame.NoBest
+		w.carry.Position = 0
+		h.next(w.packet, w.carry, why)
+	}
+}
+
+// nextWaiting picks who gets the next slot: of those that can meet their
+// objective the most urgent, and of these the one with the least time left; if
+// none can, the one that has waited longest.
+func (h *Hold) nextWaiting(now time.Time) (best *waiter) {
+	for _, w := range h.waiting {
+		if best == nil || w.before(best, now) {
+			best = w
+		}
+	}
+	return best
+}
+
+func (w *waiter) before(o *waiter, now time.Time) bool {
+	inTime, otherInTime := now.Before(w.until), now.Before(o.until)
+	switch {
+	case inTime != otherInTime:
+		return inTime
+	case inTime && w.carry.Urgency != o.carry.Urgency:
+		return w.carry.Urgency < o.carry.Urgency
+	case inTime && !w.until.Equal(o.until):
+		return w.until.Before(o.until)
+	case !w.since.Equal(o.since):
+		return w.since.Before(o.since)
+	default:
+		return w.packet.Sequence < o.packet.Sequence
+	}
+}
--- a/internal/relay/plan/plan.go
+++ b/internal/relay/plan/plan.go
@@ -38,7 +38,11 @@
 	Address  netip.Addr
 	Port     uint16
 	Contract pact.Contract
-	Parts    []Part
+	// Aim is the latency objective of the requests, 0 if there is none.
+	Aim time.Duration
+	// Urgency is the priority of the requests; 0 goes before others.
+	Urgency uint8
+	Parts   []Part
 }
 
 // Choose picks the service of a new flow by the weights; the same flow hash
