--- /dev/null
+++ b/internal/relay/guide/script_test.go
@@ -0,0 +1,223 @@
+package guide_test
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/clementinewing/clementinewing/internal/fake/script"
+	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/relay/guide"
+	"github.com/clementinewing/clementinewing/internal/relay/plan"
+	"github.com/clementinewing/clementinewing/internal/relay/roster"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+	"github.com/clementinewing/clementinewing/internal/world/node"
+	"github.com/clementinewing/clementinewing/internal/world/pact"
+)
+
+// Hosts are small numbers; this balancer is 90. Flows are named by their caller's
+// port; ports 443 to 445 are routes of the services rota, sheets and both. Events:
+// plan, load, silence, syn, ack, data, rst, owner, denied, walked, rejected, tick.
+var _ = Describe("Guide", func() {
+	cases, err := script.Read("testdata/*.txt")
+	if err != nil {
+		panic(err)
+	}
+	for _, c := range cases {
+		It(c.File+": "+c.Name, func() { play(c) })
+	}
+})
+
+const (
+	self = frame.Host(90)
+
+	flagSyn = 0x02
+	flagRst = 0x04
+	flagAck = 0x10
+)
+
+type world struct {
+	members *roster.Roster
+	held    *plan.Held
+	guide   *guide.Guide
+	reports uint32
+}
+
+func play(c script.Case) {
+	w := &world{
+		members: roster.New(self),
+		held:    &plan.Held{},
+	}
+	w.guide = guide.New(self, 1, time.UnixMilli(0).UTC(), w.members, w.held)
+	for i := range c.Lines {
+		l := &c.Lines[i]
+		Expect(show(w.step(l))).To(Equal(l.Want), fmt.Sprintf("%s:%d", c.File, l.Number))
+	}
+}
+
+func (w *world) step(l *script.Line) []guide.Action {
+	switch l.Event {
+	case "plan":
+		w.held.Adopt(routes(l))
+		return nil
+	case "load":
+		w.reports++
+		w.members.Hear(l.At, load(l, w.reports))
+		return nil
+	case "settle":
+		w.guide.Settle(l.At)
+		return nil
+	case "named":
+		w.members.NameSide(l.At, frame.Host(l.Int("host", 0)))
+		return nil
+	}
+	return w.guide.Step(l.At, event(l))
+}
+
+func event(l *script.Line) guide.Event {
+	p := packet(l)
+	switch l.Event {
+	case "owner":
+		return guide.Hint{
+			Owner: frame.Owner{
+				Key:     p.Key,
+				Host:    frame.Host(l.Int("host", 0)),
+				Initial: uint32(l.Int("initial", 0)),
+				Known:   l.Int("initial", 0) != 0,
+			},
+		}
+	case "denied", "walked", "rejected":
+		return guide.Return{
+			Packet: p,
+			Stray: frame.Stray{
+				Host:   frame.Host(l.Int("host", 0)),
+				Sure:   l.Has("sure"),
+				Walked: l.Event != "denied",
+				Packet: []byte("packet"),
+			},
+		}
+	case "tick":
+		return guide.Tick{}
+	default:
+		return guide.Packet{
+			Packet: p,
+			Raw:    []byte("packet"),
+		}
+	}
+}
+
+func packet(l *script.Line) link.Packet {
+	p := link.Packet{
+		Key: link.Key{
+			Caller:     7,
+			CallerPort: uint16(l.Int("flow", 0)),
+			Target:     8,
+			TargetPort: uint16(l.Int("port", 443)),
+			Protocol:   6,
+		},
+		Kind:           link.Continuing,
+		Sequence:       uint32(l.Int("seq", 1000)),
+		Acknowledgment: uint32(l.Int("ack", 0)),
+		Payload:        10,
+		Flags:          flagAck,
+	}
+	switch l.Event {
+	case "syn", "rejected":
+		p.Kind = link.Opening
+		p.Flags = flagSyn
+		p.Payload = 0
+	case "ack":
+		p.Payload = 0
+	case "rst":
+		p.Kind = link.Closing
+		p.Flags = flagRst
+		p.Payload = 0
+	}
+	return p
+}
+
+func routes(l *script.Line) *plan.Plan {
+	p := &plan.Plan{
+		Version:  uint64(l.Int("version", 1)),
+		Revision: uint64(l.Int("version", 1)),
+		Routes:   map[plan.Target]*plan.Route{},
+	}
+	for _, port := range l.Ints("ports") {
+		r := &plan.Route{
+			Address: netip.AddrFrom4([4]byte{0, 0, 0, 8}),
+			Port:    uint16(port),
+		}
+		names := []string{"rota", "sheets"}
+		if port < 445 {
+			names = names[port-443 : port-442]
+		}
+		for _, n := range names {
+			r.Parts = append(r.Parts, plan.Part{
+				Name:    n,
+				Service: pact.Identify(n),
+				Weight:  1,
+			})
+		}
+		p.Routes[plan.Target{
+			Address: 8,
+			Port:    uint16(port),
+		}] = r
+	}
+	return p
+}
+
+func load(l *script.Line, sequence uint32) frame.Load {
+	state := node.Serving
+	switch {
+	case l.Has("draining"):
+		state = node.Draining
+	case l.Has("gone"):
+		state = node.Gone
+	case l.Has("joining"):
+		state = node.Joining
+	}
+	service := "rota"
+	if s, ok := l.Values["service"]; ok {
+		service = s
+	}
+	return frame.Load{
+		Host:     frame.Host(l.Int("host", 0)),
+		Service:  pact.Identify(service),
+		Zone:     uint64(l.Int("zone", 1)),
+		State:    state,
+		Proven:   true,
+		Born:     uint64(l.Int("born", 5)),
+		Sequence: sequence,
+		Slots:    uint16(l.Int("slots", 10)),
+		InUse:    uint16(l.Int("used", 0)),
+	}
+}
+
+func show(actions []guide.Action) string {
+	var out []string
+	for _, a := range actions {
+		switch a := a.(type) {
+		case guide.Send:
+			text := fmt.Sprintf("%s to", a.Why)
+			for _, h := range a.Carry.List {
+				text += fmt.Sprintf(" %d", h)
+			}
+			if a.Carry.Flags&frame.Settled != 0 {
+				text += ", settled"
+			}
+			Expect(a.To).To(Equal(a.Carry.List[0]))
+			out = append(out, text)
+		case guide.Refuse:
+			out = append(out, "refuse, "+a.Why.String())
+		case guide.Reset:
+			out = append(out, "reset, "+a.Why.String())
+		case guide.Drop:
+			out = append(out, "drop, "+a.Why.String())
+		}
+	}
+	return strings.Join(out, "; ")
+}
--- /dev/null
+++ b/internal/relay/guide/suite_test.go
@@ -0,0 +1,13 @@
+package guide_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestGuide(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "guide")
+}
--- /dev/null
+++ b/internal/relay/hold/script_test.go
@@ -0,0 +1,241 @@
+package hold_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/clementinewing/clementinewing/internal/fake/script"
+	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/relay/hold"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+	"github.com/clementinewing/clementinewing/internal/world/node"
+	"github.com/clementinewing/clementinewing/internal/world/pact"
+)
+
+// Hosts are small numbers: this process is 1, balancers are from 90 on. Flows are
+// named by their caller's port. Events: syn, data, fin, rst (packets that arrive),
+// synack, answer, close (packets of the endpoint), bounce, report, left, leave,
+// told, dead, owner, tick.
+var _ = Describe("Hold", func() {
+	cases, err := script.Read("testdata/*.txt")
+	if err != nil {
+		panic(err)
+	}
+	for _, c := range cases {
+		It(c.File+": "+c.Name, func() { play(c) })
+	}
+})
+
+const (
+	self    = frame.Host(1)
+	service = "rota"
+
+	flagFin = 0x01
+	flagSyn = 0x02
+	flagRst = 0x04
+	flagAck = 0x10
+)
+
+func play(c script.Case) {
+	var options []hold.Option
+	if strings.Contains(c.Name, "[first start]") {
+		options = append(options, hold.FirstStart())
+	}
+	h := hold.New(self, service, options...)
+	for i := range c.Lines {
+		l := &c.Lines[i]
+		got := show(h.Step(l.At, event(l)))
+		Expect(got).To(Equal(l.Want), fmt.Sprintf("%s:%d", c.File, l.Number))
+	}
+}
+
+func event(l *script.Line) hold.Event {
+	switch l.Event {
+	case "syn", "data", "fin", "rst":
+		p := packet(l)
+		return hold.Arrived{
+			Packet: p,
+			Carry:  carry(l),
+		}
+	case "synack", "answer", "close":
+		return hold.Answered{
+			Packet: packet(l),
+		}
+	case "bounce":
+		return hold.Bounced{
+			Packet: packet(l),
+			Mark:   uint32(l.Int("mark", 0)),
+		}
+	case "report":
+		return hold.Reported{
+			Report: report(l),
+		}
+	case "left":
+		return hold.Left{
+			ID: l.Words[0],
+		}
+	case "leave":
+		return hold.Leave{}
+	case "told":
+		return hold.Told{
+			State: map[string]node.State{
+				"serving":  node.Serving,
+				"draining": node.Draining,
+				"gone":     node.Gone,
+			}[l.Words[0]],
+			Born: uint64(l.Int("born", 0)),
+		}
+	case "dead":
+		return hold.Unreachable{}
+	case "owner":
+		return hold.Elsewhere{
+			Owner: frame.Owner{
+				Key:  key(l),
+				Host: frame.Host(l.Int("host", 0)),
+			},
+		}
+	case "tick":
+		return hold.Tick{}
+	default:
+		panic("no event " + l.Event)
+	}
+}
+
+func key(l *script.Line) link.Key {
+	return link.Key{
+		Caller:     7,
+		CallerPort: uint16(l.Int("flow", 0)),
+		Target:     8,
+		TargetPort: 443,
+		Protocol:   6,
+	}
+}
+
+func packet(l *script.Line) link.Packet {
+	p := link.Packet{
+		Key:            key(l),
+		Kind:           link.Continuing,
+		Sequence:       uint32(l.Int("seq", 1000)),
+		Acknowledgment: uint32(l.Int("ack", 0)),
+		Payload:        l.Int("len", 0),
+		Flags:          flagAck,
+	}
+	kind := l.Event
+	if l.Has("opening") {
+		kind = "syn"
+	}
+	switch kind {
+	case "syn":
+		p.Kind = link.Opening
+		p.Flags = flagSyn
+	case "synack":
+		p.Flags = flagSyn | flagAck
+	case "fin", "close":
+		p.Kind = link.Closing
+		p.Flags |= flagFin
+	case "rst":
+		p.Kind = link.Closing
+		p.Flags = flagRst
+	}
+	return p
+}
+
+func carry(l *script.Line) *frame.Carry {
+	c := &frame.Carry{
+		Best:     uint8(l.Int("best", frame.NoBest)),
+		BestLoad: uint16(l.Int("load", 0)),
+		Position: uint8(l.Int("at", 0)),
+		Service:  pact.Identify(service),
+		Balancer: frame.Host(l.Int("from", 90)),
+		Home:     frame.Host(l.Int("home", 0)),
+		Aim:      uint16(l.Int("aim", 250)),
+		Urgency:  uint8(l.Int("urgency", 2)),
+		List:     []frame.Host{self},
+	}
+	if list := l.Ints("list"); list != nil {
+		c.List = nil
+		for _, n := range list {
+			c.List = append(c.List, frame.Host(n))
+		}
+	}
+	if other, ok := l.Values["service"]; ok {
+		c.Service = pact.Identify(other)
+	}
+	for word, bit := range map[string]uint8{
+		"settled": frame.Settled,
+		"cached":  frame.Cached,
+		"unsure":  frame.Unsure,
+		"chosen":  frame.Chosen,
+	} {
+		if l.Has(word) {
+			c.Flags |= bit
+		}
+	}
+	return c
+}
+
+func report(l *script.Line) hold.Report {
+	return hold.Report{
+		ID:        l.Words[0],
+		Service:   service,
+		Born:      uint64(l.Int("born", 5)),
+		Sequence:  uint64(l.Int("number", 1)),
+		Slots:     uint16(l.Int("slots", 1)),
+		Draining:  l.Has("draining"),
+		ColdUntil: l.At.Add(time.Duration(l.Int("cold", 0)) * time.Millisecond),
+	}
+}
+
+func show(actions []hold.Action) string {
+	var out []string
+	for _, a := range actions {
+		out = append(out, showOne(a))
+	}
+	return strings.Join(out, "; ")
+}
+
+func showOne(a hold.Action) string {
+	switch a := a.(type) {
+	case hold.Deliver:
+		return fmt.Sprintf("deliver %d", a.Mark)
+	case hold.HandOn:
+		text := fmt.Sprintf("hand on to %d, %s", a.To, a.Why)
+		for word, bit := range map[string]uint8{
+			", chosen": frame.Chosen,
+			", unsure": frame.Unsure,
+		} {
+			if a.Carry.Flags&bit != 0 {
+				text += word
+			}
+		}
+		return text
+	case hold.GiveBack:
+		text := fmt.Sprintf("back to %d, %s", a.To, a.Why)
+		if a.Stray.Walked {
+			text += ", walked"
+		}
+		if a.Stray.Sure {
+			text += ", sure"
+		}
+		return text
+	case hold.Tell:
+		if a.Owner.Known {
+			return fmt.Sprintf("tell %d flow %d is here from %d", a.To, a.Owner.Key.CallerPort, a.Owner.Initial)
+		}
+		return fmt.Sprintf("tell %d flow %d is here", a.To, a.Owner.Key.CallerPort)
+	case hold.Forward:
+		return "forward"
+	case hold.Accepted:
+		return fmt.Sprintf("accepted %d", a.Key.CallerPort)
+	case hold.Began:
+		return "request"
+	case hold.Changed:
+		return fmt.Sprintf("now %s, %s", a.State, a.Why)
+	default:
+		panic("no action")
+	}
+}
--- /dev/null
+++ b/internal/relay/hold/suite_test.go
@@ -0,0 +1,13 @@
+package hold_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestHold(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "hold")
+}
--- /dev/null
+++ b/internal/relay/plan/plan_test.go
@@ -0,0 +1,94 @@
+package plan_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/clementinewing/clementinewing/internal/fake/script"
+	"github.com/clementinewing/clementinewing/internal/relay/plan"
+	"github.com/clementinewing/clementinewing/internal/world/pact"
+)
+
+var _ = Describe("Held", func() {
+	It("never steps back, in either number", func() {
+		h := &plan.Held{}
+		Expect(h.Adopt(&plan.Plan{
+			Version:  5,
+			Revision: 50,
+		})).To(BeTrue())
+		for _, older := range []plan.Plan{
+			{Version: 4, Revision: 60},
+			{Version: 5, Revision: 60},
+			{Version: 6, Revision: 50},
+			{Version: 6, Revision: 49},
+		} {
+			Expect(h.Adopt(&older)).To(BeFalse())
+		}
+		Expect(h.Current().Version).To(Equal(uint64(5)))
+		Expect(h.Adopt(&plan.Plan{
+			Version:  9,
+			Revision: 51,
+		})).To(BeTrue())
+		Expect(h.Revision()).To(Equal(uint64(51)))
+	})
+})
+
+var _ = Describe("Route", func() {
+	It("shares flows by weight", func() {
+		r := &plan.Route{
+			Parts: []plan.Part{
+				{Service: pact.ServiceID(1), Weight: 90},
+				{Service: pact.ServiceID(2), Weight: 10},
+				{Service: pact.ServiceID(3), Weight: 0},
+			},
+		}
+		got := map[pact.ServiceID]int{}
+		for hash := range uint64(1000) {
+			got[r.Choose(hash)]++
+		}
+		Expect(got).To(Equal(map[pact.ServiceID]int{
+			1: 900,
+			2: 100,
+		}))
+	})
+
+	It("takes the first service where no weight is given", func() {
+		r := &plan.Route{
+			Parts: []plan.Part{
+				{Service: pact.ServiceID(1)},
+				{Service: pact.ServiceID(2)},
+			},
+		}
+		Expect(r.Choose(77)).To(Equal(pact.ServiceID(1)))
+	})
+})
+
+// Events: due (turn=N), done (asked=MS, ok or not), answered (at=MS).
+var _ = Describe("Turns", func() {
+	cases, err := script.Read("testdata/*.txt")
+	if err != nil {
+		panic(err)
+	}
+	for _, c := range cases {
+		It(c.Name, func() {
+			t := &plan.Turns{}
+			for i := range c.Lines {
+				l := &c.Lines[i]
+				got := ""
+				switch l.Event {
+				case "due":
+					if t.Due(l.At, l.Int("turn", 0)) {
+						got = "ask"
+					}
+				case "done":
+					t.Done(time.UnixMilli(int64(l.Int("asked", 0))), l.At, l.Has("ok"), 1)
+				case "answered":
+					t.Answered(time.UnixMilli(int64(l.Int("at", 0))))
+				}
+				Expect(got).To(Equal(l.Want), "line %d", l.Number)
+			}
+		})
+	}
+})
