--- a/internal/relay/entry/packets.go
+++ b/internal/relay/entry/packets.go
@@ -183,7 +183,7 @@
 	}
 	if p.Revision > b.held.Revision() && !b.fetching {
 		b.fetching = true
-		go b.fetch(ctx, p.Host, p.Revision)
+		go b.fetch(ctx, p.Revision)
 	}
 }
 
--- a/internal/relay/entry/serve.go
+++ b/internal/relay/entry/serve.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"compress/gzip"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -63,7 +65,11 @@
 		return
 	}
 	w.Header().Set(revisionHeader, strconv.FormatUint(p.Revision, 10))
-	if _, err := w.Write(p.Raw); err != nil {
+	// The client asks for compressed content and expands it by itself.
+	w.Header().Set("Content-Encoding", "gzip")
+	z := gzip.NewWriter(w)
+	_, err := z.Write(p.Raw)
+	if err = errors.Join(err, z.Close()); err != nil {
 		b.log.Trouble.Warn().Err(err).Msg("giving the plan to a balancer failed")
 	}
 }
--- a/internal/relay/entry/store.go
+++ b/internal/relay/entry/store.go
@@ -25,8 +25,9 @@
 	// startLeast and startMost bound the waits between the tries at start.
 	startLeast = 100 * time.Millisecond
 	startMost  = 1200 * time.Millisecond
-	// peerTimeout is for fetching a plan from another balancer.
-	peerTimeout = 500 * time.Millisecond
+	// peerTimeout is for fetching a plan from another balancer: a large one over
+	// a link of 10 Mbit/s.
+	peerTimeout = 1500 * time.Millisecond
 	// planBytes bounds a plan that is fetched: the store's largest value.
 	planBytes = 1 << 20
 
@@ -247,27 +248,36 @@
 	b.pulseAll(now)
 }
 
-// fetch reads a plan from a balancer that has it, else from the store.
-func (b *Balancer) fetch(ctx context.Context, from frame.Host, revision uint64) {
+// fetch reads a plan that another balancer has in force: from the store, else from
+// a balancer. A plan may be some hundred kilobytes; the store's link carries that
+// to every balancer at once, a balancer's own would be blocked for seconds.
+func (b *Balancer) fetch(ctx context.Context, revision uint64) {
 	defer func() {
 		b.mutex.Lock()
 		b.fetching = false
 		b.mutex.Unlock()
 	}()
-	p, err := b.fetchPeer(ctx, from)
-	if err == nil {
-		b.adopt(p, from.String())
-		return
-	}
-	b.log.Trouble.Warn().Err(err).Str("balancer", from.String()).Uint64("plan_revision", revision).Msg("fetching a plan failed; asking the store")
 	asked := time.Now()
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	p, err = b.store.Plan(call)
+	p, err := b.store.Plan(call)
 	b.answered(asked, err)
-	if err == nil {
+	if err == nil && p.Revision >= revision {
 		b.adopt(p, "store")
+		return
+	}
+	b.mutex.Lock()
+	from := b.members.WithPlan(revision)
+	b.mutex.Unlock()
+	if len(from) == 0 {
+		return
+	}
+	host := from[rand.IntN(len(from))]
+	if p, err = b.fetchPeer(ctx, host); err != nil {
+		b.log.Trouble.Warn().Err(err).Str("balancer", host.String()).Uint64("plan_revision", revision).Msg("fetching a plan failed; it is tried again with the next pulse")
+		return
 	}
+	b.adopt(p, host.String())
 }
 
 func (b *Balancer) fetchPeer(ctx context.Context, from frame.Host) (p *plan.Plan, err error) {
--- a/internal/relay/guide/guide.go
+++ b/internal/relay/guide/guide.go
@@ -268,17 +268,31 @@
 	return s != nil && !s.MayOwn(now, true) || s != nil && !s.MayOwn(now, false) && !g.members.Isolated(now)
 }
 
+// ackWindow is how far beyond an owner's first sequence number a caller's
+// acknowledgment may lie: more than a flow carries in its life. Owners that are
+// not the caller's are told apart by it in 15 of 16 cases; the side process knows
+// for certain.
+const ackWindow = 1 << 28
+
+// fits tells whether a packet can be of the flow that the owner answered.
+func (o *owner) fits(p link.Packet) bool {
+	return o.host != 0 && (!o.known || !p.HasAck() || p.Acknowledgment-o.initial < ackWindow)
+}
+
 // ownerOf picks the owner whose first sequence number the packet acknowledges,
-// where two endpoints answered the same opening.
+// where two endpoints answered the same opening. It gives 0 if it is neither's.
 func (x *entry) ownerOf(p link.Packet) frame.Host {
-	a, b := x.owners[0], x.owners[1]
-	if a.host == 0 || b.host == 0 || !p.HasAck() || !a.known || !b.known {
+	a, b := &x.owners[0], &x.owners[1]
+	switch {
+	case a.fits(p) && b.fits(p) && a.known && b.known && p.Acknowledgment-b.initial < p.Acknowledgment-a.initial:
+		return b.host
+	case a.fits(p):
 		return a.host
-	}
-	if p.Acknowledgment-b.initial < p.Acknowledgment-a.initial {
+	case b.fits(p):
 		return b.host
+	default:
+		return 0
 	}
-	return a.host
 }
 
 func (g *Guide) lookup(now time.Time, p link.Packet, raw []byte, denier frame.Host, sure bool) {
@@ -510,7 +524,7 @@
 	p := e.Packet
 	owned := false
 	if x != nil {
-		owned = x.forget(e.Host)
+		owned = x.forget(e.Host, p)
 	}
 	if e.Sure && owned && p.Payload > 0 {
 		delete(g.flows, p.Key)
@@ -524,8 +538,8 @@
 }
 
 // forget takes a host out of the owners. It tells whether the host was the only
-// one and had named the sequence number by which it owned the flow.
-func (x *entry) forget(h frame.Host) (owned bool) {
+// one and had owned the flow by the number that the caller acknowledges.
+func (x *entry) forget(h frame.Host, p link.Packet) (owned bool) {
 	if x.owners[1].host == h {
 		x.owners[1] = owner{}
 		return false
@@ -533,7 +547,7 @@
 	if x.owners[0].host != h {
 		return false
 	}
-	owned = x.owners[0].known && x.owners[1].host == 0
+	owned = x.owners[0].known && x.owners[0].fits(p) && x.owners[1].host == 0
 	x.owners[0] = x.owners[1]
 	x.owners[1] = owner{}
 	return owned
--- a/internal/relay/hold/arrive.go
+++ b/internal/relay/hold/arrive.go
@@ -193,7 +193,14 @@
 		h.give(now, p, c, askOwned)
 		return
 	}
-	if h.endpoint.complete || ok {
+	if ok {
+		// The endpoint answered a copy of the opening and the caller took
+		// another's answer. Whose it is, only that other one knows.
+		c.Flags |= frame.Unsure
+		h.notHere(p, c, OtherAnswer)
+		return
+	}
+	if h.endpoint.complete {
 		h.notHere(p, c, UnknownFlow)
 		return
 	}
--- a/internal/relay/hold/reason.go
+++ b/internal/relay/hold/reason.go
@@ -23,6 +23,8 @@
 	WaitedLong
 	// UnknownFlow: the endpoint does not hold the flow.
 	UnknownFlow
+	// OtherAnswer: the caller has taken another endpoint's answer to its opening.
+	OtherAnswer
 	// EndpointRefused: the endpoint returned the opening.
 	EndpointRefused
 	// EndpointDenied: the endpoint returned a packet of a flow it does not hold.
@@ -55,6 +57,7 @@
 	QueueFull:         "queue_full",
 	WaitedLong:        "waited_long",
 	UnknownFlow:       "unknown_flow",
+	OtherAnswer:       "other_answer",
 	EndpointRefused:   "endpoint_refused",
 	EndpointDenied:    "endpoint_denied",
 	OpeningUnanswered: "opening_unanswered",
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -262,6 +262,16 @@
 	return hosts(r.balancers)
 }
 
+// WithPlan gives the balancers that have a plan of a revision or a later one.
+func (r *Roster) WithPlan(revision uint64) (list []frame.Host) {
+	for h, b := range r.balancers {
+		if b.Met && b.Revision >= revision {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
 // Known gives the balancers that were heard lately and this one: what side
 // processes are to report to.
 func (r *Roster) Known(now time.Time) (list []frame.Host) {
