--- a/internal/relay/hold/hold.go
+++ b/internal/relay/hold/hold.go
@@ -21,8 +21,9 @@
 	// packet that it was asked about, until the next candidate is asked. The
 	// endpoints answer within a few milliseconds, also when they are slow.
 	muteAfter = 40 * time.Millisecond
-	// requestWithin is how long an accepted flow counts as a request to come.
-	requestWithin = 500 * time.Millisecond
+	// requestWithin is how long an accepted flow counts as a request to come: some
+	// round trips to a caller. One that comes later counts from then on.
+	requestWithin = 60 * time.Millisecond
 	// requestMost is how long a request counts as in hand without an answer:
 	// longer than any deadline of the services seen.
 	requestMost = 12 * time.Second
@@ -343,7 +344,7 @@
 
 // sweepEvery is how often flows are looked over for what has ended; it bounds
 // how late an accepted flow without a request stops counting.
-const sweepEvery = 250 * time.Millisecond
+const sweepEvery = 60 * time.Millisecond
 
 func (h *Hold) sweep(now time.Time) {
 	for k, f := range h.flows {
--- a/internal/relay/hold/load_test.go
+++ b/internal/relay/hold/load_test.go
@@ -18,19 +18,48 @@
 // back at once, endpoints are slow from their cold start, and the usual load goes
 // on. Callers send copies of an opening after 200 and 600 ms, give an attempt up
 // after 1.4 s and try three times.
+type load struct {
+	endpoints int
+	slots     int
+	queue     int
+	backlog   int
+	perSecond float64
+	// down is how long nothing ran: the backlog is that late at most.
+	down time.Duration
+	aim  time.Duration
+}
+
+var (
+	// small has 7 endpoints that are half busy on usual days, large 43 that are
+	// busy to three quarters.
+	small = load{
+		endpoints: 7,
+		slots:     7,
+		queue:     28,
+		backlog:   350,
+		perSecond: 400,
+		down:      time.Second,
+		aim:       250 * time.Millisecond,
+	}
+	large = load{
+		endpoints: 43,
+		slots:     3,
+		queue:     12,
+		backlog:   2500,
+		perSecond: 1650,
+		down:      1500 * time.Millisecond,
+		aim:       400 * time.Millisecond,
+	}
+)
+
 const (
-	loadEndpoints = 7
-	loadSlots     = 7
-	loadBacklog   = 350
-	loadPerSecond = 400.0
-	loadSpan      = 3 * time.Second
-	loadWork      = 60 * time.Millisecond
-	loadCold      = 1.6
-	loadAim       = 250 * time.Millisecond
-	loadDeadline  = 2500 * time.Millisecond
-	loadTries     = 3
-	loadQueue     = 28
-	hop           = time.Millisecond
+	loadSpan     = 6 * time.Second
+	loadWork     = 60 * time.Millisecond
+	loadCold     = 1.6
+	loadDeadline = 2500 * time.Millisecond
+	loadTries    = 3
+	loadList     = 8
+	hop          = time.Millisecond
 )
 
 type outcome struct {
@@ -38,6 +67,7 @@
 }
 
 type loadWorld struct {
+	load
 	clock  *clock.Clock
 	random *rand.Rand
 	sides  []*loadSide
@@ -65,13 +95,14 @@
 
 // play runs the load; slots is what the endpoints report, their true number or so
 // many that all waiting is in their own queues.
-func playLoad(slots uint16) outcome {
+func playLoad(l load, slots int) outcome {
 	w := &loadWorld{
+		load:   l,
 		clock:  clock.New(),
 		random: rand.New(rand.NewPCG(1, 2)),
 		calls:  map[uint16]*loadCall{},
 	}
-	for i := range loadEndpoints {
+	for i := range l.endpoints {
 		s := &loadSide{
 			world: w,
 			host:  frame.Host(i + 1),
@@ -84,17 +115,17 @@
 				Service:  service,
 				Born:     1,
 				Sequence: 1,
-				Slots:    slots,
+				Slots:    uint16(slots),
 			},
 		})
 		s.tick()
 	}
 	w.warm = w.clock.Now().Add(2 * time.Second)
-	for range loadBacklog {
+	for range l.backlog {
 		// These were due while nothing ran: they are late already.
-		w.arrive(w.clock.Now().Add(-time.Duration(w.random.Int64N(int64(time.Second)))))
+		w.arrive(w.clock.Now().Add(-time.Duration(w.random.Int64N(int64(l.down)))))
 	}
-	for at := time.Duration(0); at < loadSpan; at += time.Duration(float64(time.Second) * w.random.ExpFloat64() / loadPerSecond) {
+	for at := time.Duration(0); at < loadSpan; at += time.Duration(float64(time.Second) * w.random.ExpFloat64() / l.perSecond) {
 		w.clock.After(at, func() { w.arrive(w.clock.Now()) })
 	}
 	w.clock.Run(w.clock.Now().Add(loadSpan + 2*loadDeadline))
@@ -112,7 +143,7 @@
 	w.next++
 	flow := w.next
 	w.calls[flow] = c
-	order := w.random.Perm(loadEndpoints)
+	order := w.random.Perm(w.endpoints)[:min(loadList, w.endpoints)]
 	list := make([]frame.Host, len(order))
 	for i, n := range order {
 		list[i] = frame.Host(n + 1)
@@ -144,7 +175,7 @@
 func (s *loadSide) arrive(flow uint16, list []frame.Host, request bool) {
 	c := &frame.Carry{
 		Best:     frame.NoBest,
-		Aim:      uint16(loadAim.Milliseconds()),
+		Aim:      uint16(s.world.aim.Milliseconds()),
 		Urgency:  2,
 		Service:  pact.Identify(service),
 		Balancer: 90,
@@ -241,9 +272,9 @@
 // request gives the endpoint a request, which it runs, queues or sheds.
 func (s *loadSide) request(flow uint16) {
 	switch {
-	case s.busy < loadSlots:
+	case s.busy < s.world.slots:
 		s.run(flow)
-	case len(s.queue) < loadQueue:
+	case len(s.queue) < s.world.queue:
 		s.queue = append(s.queue, flow)
 	default:
 		s.answer(flow, flagAck, 10)
@@ -281,7 +312,7 @@
 	delete(w.calls, flow)
 	c.done = true
 	switch took := w.clock.Now().Add(hop).Sub(c.born); {
-	case took <= loadAim:
+	case took <= w.aim:
 		w.got.inAim++
 	case took <= loadDeadline:
 		w.got.late++
@@ -291,11 +322,16 @@
 }
 
 var _ = Describe("the load after an outage", func() {
-	It("meets more objectives by waiting at the side process than in the endpoints' queues", func() {
-		waiting := playLoad(loadSlots)
-		queues := playLoad(1000)
-		GinkgoWriter.Printf("waiting %+v, queues %+v\n", waiting, queues)
-		Expect(waiting.inAim).To(BeNumerically(">", queues.inAim))
-		Expect(waiting.failed).To(BeNumerically("<=", queues.failed))
-	})
+	for name, l := range map[string]load{
+		"small": small,
+		"large": large,
+	} {
+		It("meets more objectives by waiting at the side process than in the endpoints' queues: "+name, func() {
+			waiting := playLoad(l, l.slots)
+			queues := playLoad(l, 1000)
+			GinkgoWriter.Printf("%s: waiting %+v, queues %+v\n", name, waiting, queues)
+			Expect(waiting.inAim).To(BeNumerically(">", queues.inAim))
+			Expect(waiting.failed).To(BeNumerically("<=", queues.failed))
+		})
+	}
 })
--- a/internal/relay/hold/wait.go
+++ b/internal/relay/hold/wait.go
@@ -18,9 +18,11 @@
 	// mostWaiting bounds the openings that wait: a second's worth of the busiest
 	// endpoints seen, with 7 slots and 60 ms a request.
 	mostWaiting = 120
-	// waitMost is how long an opening waits at most. Callers give up 1.4 s after
-	// an opening; this is just before.
-	waitMost = 1300 * time.Millisecond
+	// attemptFor is how long a caller waits for the answer to an opening from its
+	// first copy on, and attemptEnd what has to be left of it for the answer to
+	// arrive. A slot given later than that stays empty.
+	attemptFor = 1400 * time.Millisecond
+	attemptEnd = 60 * time.Millisecond
 	// firstWork is what a request takes until one has been seen.
 	firstWork = 60 * time.Millisecond
 	// workShare is the weight of one request in the average.
@@ -35,6 +37,8 @@
 	packet link.Packet
 	carry  *frame.Carry
 	since  time.Time
+	// end is when its caller has given up.
+	end time.Time
 	// until is when a request has to begin to meet its objective.
 	until time.Time
 }
@@ -53,6 +57,7 @@
 		packet: p,
 		carry:  &kept,
 		since:  now,
+		end:    now.Add(attemptFor - attemptEnd - copyAge(p)),
 		until:  now.Add(aim - time.Duration(workMargin*float64(h.work)) - copyAge(p)),
 	}
 	h.waiting[p.Key] = w
@@ -90,7 +95,7 @@
 		return
 	}
 	for key, w := range h.waiting {
-		if now.After(w.since.Add(waitMost)) {
+		if now.After(w.end) {
 			delete(h.waiting, key)
 			h.giveBack(w.packet, w.carry, WaitedLong, true)
 		}
