--- a/internal/relay/place/place.go
+++ b/internal/relay/place/place.go
@@ -23,8 +23,10 @@
 // Weights of an opening's cost, in loads: 1 is an endpoint with every slot busy.
 const (
 	// weightNow and weightAverage share the cost between what is in use at the
-	// report and the average that long flows make.
-	weightNow     = 0.5
+	// report and the average that long flows make. What is in use changes many
+	// times between two reports; placing by it sends every balancer to the same
+	// endpoints.
+	weightNow     = 0.1
 	weightAverage = 1.0
 	// costZone is what another failure domain may have less in load: a hop of a
 	// millisecond there and back against a queue of tens of milliseconds.
@@ -36,7 +38,7 @@
 	// costDoubt is for each opening that was left unanswered.
 	costDoubt = 0.7
 	// spread is the random part that keeps balancers from choosing alike.
-	spread = 0.12
+	spread = 0.3
 	// mostOpening bounds the candidates of an opening: with a tenth of the
 	// endpoints free, eight candidates find one in over half of the cases, and
 	// the least loaded of eight takes the rest.
