--- a/internal/relay/guide/script_test.go
+++ b/internal/relay/guide/script_test.go
@@ -194,6 +194,7 @@
 		Sequence: sequence,
 		Slots:    uint16(l.Int("slots", 10)),
 		InUse:    uint16(l.Int("used", 0)),
+		Average:  uint16(l.Int("used", 0) * 64),
 	}
 }
 
--- /dev/null
+++ b/internal/relay/roster/roster_test.go
@@ -0,0 +1,100 @@
+package roster_test
+
+import (
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/clementinewing/clementinewing/internal/fake/script"
+	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/relay/roster"
+	"github.com/clementinewing/clementinewing/internal/world/node"
+)
+
+// Hosts are small numbers; the balancer is 90. Events: load, name, meet, named,
+// expire. After each event "ask" lines look at the roster: takes, owns, turn,
+// known, complete, isolated.
+var _ = Describe("Roster", func() {
+	cases, err := script.Read("testdata/*.txt")
+	if err != nil {
+		panic(err)
+	}
+	for _, c := range cases {
+		It(c.Name, func() {
+			r := roster.New(90)
+			for i := range c.Lines {
+				l := &c.Lines[i]
+				Expect(step(r, l)).To(Equal(l.Want), "line %d", l.Number)
+			}
+		})
+	}
+})
+
+func step(r *roster.Roster, l *script.Line) string {
+	host := frame.Host(l.Int("host", 0))
+	switch l.Event {
+	case "load":
+		return yes(r.Hear(l.At, load(l)), "changed")
+	case "meet":
+		return yes(r.Meet(l.At, frame.Pulse{
+			Host:    host,
+			Process: uint64(l.Int("process", 1)),
+			Leaving: l.Has("leaving"),
+		}), "added")
+	case "name":
+		return yes(r.Name(l.At, host), "added")
+	case "named":
+		return yes(r.NameSide(l.At, host), "not heard")
+	case "expire":
+		sides, balancers := r.Expire(l.At)
+		return yes(len(sides)+len(balancers) > 0, "forgotten")
+	case "takes":
+		return yes(r.Side(host).Takes(l.At), "yes")
+	case "owns":
+		return yes(r.Side(host).MayOwn(l.At, r.Isolated(l.At)), "yes")
+	case "complete":
+		return yes(r.Complete(l.At), "yes")
+	case "isolated":
+		return yes(r.Isolated(l.At), "yes")
+	case "turn":
+		return [...]string{"first", "second", "third"}[r.Turn(l.At)]
+	default:
+		panic("no event " + l.Event)
+	}
+}
+
+func yes(is bool, text string) string {
+	if is {
+		return text
+	}
+	return ""
+}
+
+func load(l *script.Line) frame.Load {
+	l2 := frame.Load{
+		Host:     frame.Host(l.Int("host", 0)),
+		Process:  uint64(l.Int("process", 1)),
+		Service:  1,
+		State:    node.Serving,
+		Born:     uint64(l.Int("born", 5)),
+		Sequence: uint32(l.Int("number", 1)),
+	}
+	switch {
+	case l.Has("gone"):
+		l2.State = node.Gone
+	case l.Has("draining"):
+		l2.State = node.Draining
+	case l.Has("joining"):
+		l2.State = node.Joining
+	}
+	return l2
+}
+
+var _ = Describe("Digest", func() {
+	It("depends on the set and not on its order", func() {
+		a := roster.Digest([]frame.Host{1, 2, 3})
+		Expect(roster.Digest([]frame.Host{3, 1, 2})).To(Equal(a))
+		Expect(roster.Digest([]frame.Host{3, 1})).NotTo(Equal(a))
+	})
+})
+
