--- a/internal/relay/frame/codec.go
+++ b/internal/relay/frame/codec.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	bitOne = 1
-	bitTwo = 2
+	bitOne   = 1
+	bitTwo   = 2
+	bitThree = 4
 )
 
 var order = binary.BigEndian
@@ -75,7 +76,7 @@
 }
 
 func appendLoad(out []byte, m *Load) []byte {
-	out = append(out, magic, version, kindLoad, flag(m.Proven, bitOne)|flag(m.First, bitTwo), byte(m.State))
+	out = append(out, magic, version, kindLoad, flag(m.Proven, bitOne)|flag(m.First, bitTwo)|flag(m.Refuses, bitThree), byte(m.State))
 	out = order.AppendUint32(out, uint32(m.Host))
 	out = order.AppendUint64(out, m.Process)
 	out = order.AppendUint64(out, uint64(m.Service))
@@ -224,6 +225,7 @@
 	return Load{
 		Proven:    bits&bitOne != 0,
 		First:     bits&bitTwo != 0,
+		Refuses:   bits&bitThree != 0,
 		State:     node.State(r.byte()),
 		Host:      r.host(),
 		Process:   r.uint64(),
--- a/internal/relay/frame/frame.go
+++ b/internal/relay/frame/frame.go
@@ -137,6 +137,9 @@
 	State   node.State
 	// Proven tells that the endpoint has been heard of in this process's life.
 	Proven bool
+	// Refuses tells that the endpoint returned an opening and has not reported in
+	// this process's life.
+	Refuses bool
 	// First asks for a Roll in any case.
 	First bool
 	// Born is when the endpoint started, in Unix milliseconds; 0 is unknown.
--- a/internal/relay/frame/frame_test.go
+++ b/internal/relay/frame/frame_test.go
@@ -54,6 +54,7 @@
 			Zone:      4,
 			State:     node.Draining,
 			Proven:    true,
+			Refuses:   true,
 			First:     true,
 			Born:      5,
 			Sequence:  6,
--- a/internal/relay/hold/hold.go
+++ b/internal/relay/hold/hold.go
@@ -298,6 +298,7 @@
 		Service: h.service,
 		State:   e.state(),
 		Proven:  e.proven,
+		Refuses: e.refuses && !e.reported,
 		Born:    e.born,
 		Slots:   e.slots,
 		InUse:   uint16(min(h.inUse+len(h.waiting), 0xffff)),
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -204,9 +204,10 @@
 }
 
 // absent tells whether a side process has been silent for so long that it is not
-// expected back. One that never served is not waited for.
+// expected back. One whose endpoint has refused openings without ever reporting
+// is not waited for: its machine has been taken away.
 func (s *Side) absent(now time.Time) bool {
-	if s.State == node.Joining {
+	if s.Refuses {
 		return s.Silent(now)
 	}
 	return now.After(s.HeardAt.Add(absentAfter))
--- a/internal/relay/roster/roster_test.go
+++ b/internal/relay/roster/roster_test.go
@@ -1,7 +1,6 @@
 package roster_test
 
 import (
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -78,6 +77,7 @@
 		State:    node.Serving,
 		Born:     uint64(l.Int("born", 5)),
 		Sequence: uint32(l.Int("number", 1)),
+		Refuses:  l.Has("refuses"),
 	}
 	switch {
 	case l.Has("gone"):
@@ -97,4 +97,3 @@
 		Expect(roster.Digest([]frame.Host{3, 1})).NotTo(Equal(a))
 	})
 })
-
