--- a/cmd/cwnode/agent.go
+++ b/cmd/cwnode/agent.go
@@ -6,6 +6,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/clementinewing/clementinewing/internal/conf/relay"
+	"github.com/clementinewing/clementinewing/internal/edge/meter"
 	"github.com/clementinewing/clementinewing/internal/relay/agent"
 	"github.com/clementinewing/clementinewing/platform"
 )
@@ -31,8 +32,11 @@
 	}
 	l := newLogs("agent", s)
 	defer closeLogs(l)
-	a, err := agent.New(
+	var a *agent.Agent
+	m := meter.New("agent", func() meter.Sample { return a.Sample() }, func() any { return a.State() }, func() bool { return a.Ready() })
+	a, err = agent.New(
 		s,
+		agent.WithObserver(observer(m, agent.Times())),
 		agent.WithLogs(l),
 		agent.WithPlatform(platform.Packets{
 			CallerPort: s.Callers.Port(),
@@ -47,5 +51,6 @@
 		_, err := relay.ReadAgent(path)
 		return err
 	})
+	go serveMetrics(stop, m, s.Metrics, l)
 	return a.Run(stop)
 }
--- a/cmd/cwnode/balancer.go
+++ b/cmd/cwnode/balancer.go
@@ -6,6 +6,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/clementinewing/clementinewing/internal/conf/relay"
+	"github.com/clementinewing/clementinewing/internal/edge/meter"
 	"github.com/clementinewing/clementinewing/internal/relay/entry"
 	"github.com/clementinewing/clementinewing/platform"
 )
@@ -31,8 +32,11 @@
 	}
 	l := newLogs("balancer", s)
 	defer closeLogs(l)
-	b, err := entry.New(
+	var b *entry.Balancer
+	m := meter.New("balancer", func() meter.Sample { return b.Sample() }, func() any { return b.State() }, func() bool { return b.Ready() })
+	b, err = entry.New(
 		s,
+		entry.WithObserver(observer(m, entry.Times())),
 		entry.WithLogs(l),
 		entry.WithPlatform(platform.Packets{
 			CallerPort: s.Callers.Port(),
@@ -47,5 +51,6 @@
 		_, err := relay.ReadBalancer(path)
 		return err
 	})
+	go serveMetrics(stop, m, s.Metrics, l)
 	return b.Run(stop)
 }
--- /dev/null
+++ b/cmd/cwnode/metrics.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/edge/logs"
+	"github.com/clementinewing/clementinewing/internal/edge/meter"
+)
+
+// observer makes a histogram for each name and gives what records into them.
+func observer(m *meter.Meter, names []string) func(name string, took time.Duration) {
+	timers := map[string]func(time.Duration){}
+	for _, n := range names {
+		timers[n] = m.Timer(n + "_latency")
+	}
+	return func(name string, took time.Duration) {
+		if t, ok := timers[name]; ok {
+			t(took)
+		}
+	}
+}
+
+// serveMetrics publishes counters, histograms and state until ctx ends. A process
+// without that page does its work all the same.
+func serveMetrics(ctx context.Context, m *meter.Meter, address netip.AddrPort, l *logs.Logs) {
+	if !address.IsValid() {
+		return
+	}
+	if err := m.Serve(ctx, address); err != nil {
+		l.Trouble.Error().Err(err).Msg("no metrics page")
+	}
+}
--- a/internal/edge/meter/meter.go
+++ b/internal/edge/meter/meter.go
@@ -84,6 +84,15 @@
 	}
 }
 
+// latencyBuckets double from 1 ms to about 16 s, the range from one hop to past
+// every deadline.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
+
+// Timer makes a histogram of latencies; the function records one.
+func (m *Meter) Timer(name string) func(time.Duration) {
+	return m.scope.Histogram(name, latencyBuckets).RecordDuration
+}
+
 // Serve answers on address until ctx ends.
 func (m *Meter) Serve(ctx context.Context, address netip.AddrPort) (err error) {
 	defer func() { err = eris.Wrap(err, "serving metrics and state") }()
--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -60,6 +60,7 @@
 	lost      bool
 	out       []byte
 	counts    counts
+	observe   func(name string, took time.Duration)
 	stops     atomic.Bool
 }
 
@@ -100,6 +101,7 @@
 		process:   rand.Uint64(),
 		started:   time.Now(),
 		balancers: map[frame.Host]*contact{},
+		observe:   func(string, time.Duration) {},
 	}
 	for _, o := range options {
 		o(a)
--- a/internal/relay/agent/fleet.go
+++ b/internal/relay/agent/fleet.go
@@ -63,7 +63,9 @@
 func (a *Agent) askStore(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	asked := time.Now()
 	list, err := a.store.Balancers(call)
+	a.observe(TimeStore, time.Since(asked))
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.counts.storeCalls++
--- a/internal/relay/agent/packets.go
+++ b/internal/relay/agent/packets.go
@@ -139,9 +139,13 @@
 			a.send(one.To, one.Owner)
 		case hold.Accepted:
 			a.counts.accepted++
+			a.observe(TimeOpening, one.After)
 			a.logAccepted(one)
 		case hold.Began:
 			a.counts.requests++
+			a.logBegan(one)
+		case hold.Served:
+			a.observe(TimeRequest, one.After)
 		case hold.Changed:
 			a.logChanged(one)
 			a.reportNow()
--- a/internal/relay/agent/serve.go
+++ b/internal/relay/agent/serve.go
@@ -67,24 +67,6 @@
 	a.log.Trouble.Warn().Err(err).Msg("report of an endpoint ignored")
 }
 
-// counts are the counters of an agent.
-type counts struct {
-	arrived       uint64
-	accepted      uint64
-	requests      uint64
-	reports       uint64
-	probes        uint64
-	malformed     uint64
-	sendErrors    uint64
-	storeCalls    uint64
-	storeFailures uint64
-	handedOn      [reasons]uint64
-	givenBack     [reasons]uint64
-}
-
-// reasons is room for every hold.Reason.
-const reasons = 32
-
 func (a *Agent) logHandOn(h hold.HandOn) {
 	a.log.Trouble.Info().
 		Str("flow", h.Key.String()).
@@ -117,6 +99,15 @@
 		Msg("opening accepted")
 }
 
+// logBegan ties a request's id to its flow.
+func (a *Agent) logBegan(b hold.Began) {
+	a.log.Routine.Info().
+		Str("flow", b.Key.String()).
+		Str("request_id", a.codec.RequestID(b.Raw)).
+		Int("in_use", a.hold.InUse()).
+		Msg("request given to endpoint")
+}
+
 func (a *Agent) logChanged(c hold.Changed) {
 	a.log.Trouble.Info().
 		Str("state", c.State.String()).
--- a/internal/relay/entry/entry.go
+++ b/internal/relay/entry/entry.go
@@ -72,6 +72,7 @@
 	heardAt  time.Time
 	out      []byte
 	counts   counts
+	observe  func(name string, took time.Duration)
 	stops    atomic.Bool
 }
 
@@ -104,6 +105,7 @@
 		process:  rand.Uint64(),
 		started:  now,
 		client:   newClient(),
+		observe:  func(string, time.Duration) {},
 	}
 	for _, o := range options {
 		o(b)
--- a/internal/relay/entry/packets.go
+++ b/internal/relay/entry/packets.go
@@ -59,6 +59,8 @@
 			b.counts.sent[a.Why]++
 			b.logSend(a)
 			b.send(a.To, a.Carry)
+		case guide.Found:
+			b.observe(TimeOpening, a.After)
 		case guide.Refuse:
 			b.counts.refused[a.Why]++
 			b.logEnd("opening refused", a.Packet, a.Why)
--- a/internal/relay/entry/serve.go
+++ b/internal/relay/entry/serve.go
@@ -50,10 +50,7 @@
 }
 
 func (b *Balancer) serveReady(w http.ResponseWriter, _ *http.Request) {
-	b.mutex.Lock()
-	ready := b.ready && !b.leaving
-	b.mutex.Unlock()
-	if !ready {
+	if !b.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -74,22 +71,6 @@
 	}
 }
 
-// counts are the counters of a balancer.
-type counts struct {
-	packets       uint64
-	malformed     uint64
-	sendErrors    uint64
-	storeCalls    uint64
-	storeFailures uint64
-	sent          [reasons]uint64
-	refused       [reasons]uint64
-	resets        [reasons]uint64
-	dropped       [reasons]uint64
-}
-
-// reasons is room for every guide.Reason.
-const reasons = 32
-
 func (b *Balancer) logSend(a guide.Send) {
 	if a.Why == guide.ToOwner {
 		return
--- a/internal/relay/entry/store.go
+++ b/internal/relay/entry/store.go
@@ -173,6 +173,7 @@
 
 // answered logs when the store is lost and regained.
 func (b *Balancer) answered(asked time.Time, err error) {
+	b.observe(TimeStore, time.Since(asked))
 	b.mutex.Lock()
 	lost := b.lost
 	b.lost = err != nil
--- a/internal/relay/guide/guide.go
+++ b/internal/relay/guide/guide.go
@@ -77,7 +77,7 @@
 func (Return) event() {}
 func (Tick) event()   {}
 
-// Action is Send, Refuse, Reset or Drop.
+// Action is Send, Refuse, Reset, Drop or Found.
 type Action interface{ action() }
 
 // Send gives a packet to a side process.
@@ -107,6 +107,15 @@
 	Why    Reason
 }
 
+// Found tells that an endpoint has answered an opening, or holds it until a slot
+// is free.
+type Found struct {
+	Key   link.Key
+	Host  frame.Host
+	After time.Duration
+}
+
+func (Found) action()  {}
 func (Send) action()   {}
 func (Refuse) action() {}
 func (Reset) action()  {}
@@ -150,9 +159,11 @@
 	// aim and urgency are the route's.
 	aim     uint16
 	urgency uint8
-	sentAt  time.Time
-	due     time.Time
-	tries   int
+	// startedAt is when the caller's packet came, sentAt when it was last sent.
+	startedAt time.Time
+	sentAt    time.Time
+	due       time.Time
+	tries     int
 }
 
 // Guide decides for one balancer. Calls are made by one goroutine at a time.
@@ -407,6 +418,13 @@
 		}
 	}
 	x.keep = now.Add(ownerKeep)
+	if x.opening != nil {
+		g.add(Found{
+			Key:   o.Key,
+			Host:  o.Host,
+			After: now.Sub(x.opening.startedAt),
+		})
+	}
 	x.opening = nil
 	x.denied = nil
 	next := owner{
--- a/internal/relay/guide/open.go
+++ b/internal/relay/guide/open.go
@@ -84,15 +84,16 @@
 	x.sequence = p.Sequence
 	x.service = service
 	x.opening = &opening{
-		key:     p.Key,
-		packet:  p.Packet,
-		raw:     slices.Clone(p.Raw),
-		list:    list,
-		home:    place.Home(now, hash, g.members.Service(service)),
-		aim:     uint16(min(route.Aim.Milliseconds(), math.MaxUint16)),
-		urgency: route.Urgency,
-		sentAt:  now,
-		due:     now.Add(answerWithin),
+		key:       p.Key,
+		packet:    p.Packet,
+		raw:       slices.Clone(p.Raw),
+		list:      list,
+		home:      place.Home(now, hash, g.members.Service(service)),
+		aim:       uint16(min(route.Aim.Milliseconds(), math.MaxUint16)),
+		urgency:   route.Urgency,
+		startedAt: now,
+		sentAt:    now,
+		due:       now.Add(answerWithin),
 	}
 	g.waiting = append(g.waiting, x.opening)
 	g.sendOpening(x, x.opening, Placed)
--- a/internal/relay/guide/script_test.go
+++ b/internal/relay/guide/script_test.go
@@ -212,6 +212,8 @@
 			}
 			Expect(a.To).To(Equal(a.Carry.List[0]))
 			out = append(out, text)
+		case guide.Found:
+			out = append(out, fmt.Sprintf("found at %d", a.Host))
 		case guide.Refuse:
 			out = append(out, "refuse, "+a.Why.String())
 		case guide.Reset:
--- a/internal/relay/hold/flow.go
+++ b/internal/relay/hold/flow.go
@@ -148,6 +148,10 @@
 	if p.Payload > 0 && f.phase != phaseIdle {
 		if f.phase == phaseBusy {
 			h.worked(now.Sub(f.since))
+			h.add(Served{
+				Key:   p.Key,
+				After: now.Sub(f.since),
+			})
 		}
 		h.use(f, phaseIdle)
 	}
--- a/internal/relay/hold/hold.go
+++ b/internal/relay/hold/hold.go
@@ -129,7 +129,8 @@
 func (Unreachable) event() {}
 func (Tick) event()        {}
 
-// Action is Deliver, HandOn, GiveBack, Tell, Forward, Accepted, Began or Changed.
+// Action is Deliver, HandOn, GiveBack, Tell, Forward, Accepted, Began, Served or
+// Changed.
 type Action interface{ action() }
 
 // Deliver gives a packet to the endpoint; it comes back with Mark if it bounces.
@@ -176,6 +177,12 @@
 	Queued bool
 }
 
+// Served tells that the first byte of a request's answer came.
+type Served struct {
+	Key   link.Key
+	After time.Duration
+}
+
 // Began tells that the first bytes of a request went to the endpoint; Raw holds
 // them behind the packet's header.
 type Began struct {
@@ -195,6 +202,7 @@
 func (Tell) action()     {}
 func (Forward) action()  {}
 func (Accepted) action() {}
+func (Served) action()   {}
 func (Began) action()    {}
 func (Changed) action()  {}
 
--- a/internal/relay/hold/script_test.go
+++ b/internal/relay/hold/script_test.go
@@ -233,6 +233,8 @@
 		return fmt.Sprintf("accepted %d", a.Key.CallerPort)
 	case hold.Began:
 		return "request"
+	case hold.Served:
+		return "served"
 	case hold.Changed:
 		return fmt.Sprintf("now %s, %s", a.State, a.Why)
 	default:
--- a/internal/relay/port/port.go
+++ b/internal/relay/port/port.go
@@ -40,6 +40,9 @@
 	Clean(b []byte)
 	// Reset makes a reset to the caller of p.
 	Reset(p link.Packet) []byte
+	// RequestID finds the id of a request in the packet that its head begins in;
+	// it is empty if none stands there in clear.
+	RequestID(b []byte) string
 	// Caller is where packets to the caller of a flow are sent.
 	Caller(k link.Key) netip.AddrPort
 }
