--- a/internal/relay/guide/guide.go
+++ b/internal/relay/guide/guide.go
@@ -40,6 +40,9 @@
 	// the members for complete if nobody told it who they are: two reports of a
 	// side process.
 	settledAfter = 600 * time.Millisecond
+	// lostFor is how long it is remembered that nobody holds a flow. Its caller
+	// gives up within seconds.
+	lostFor = 5 * time.Second
 	// mostAsked bounds the packets kept to be asked for again.
 	mostAsked = 2048
 	// startGrace is how long a balancer that knows no endpoint leaves openings
@@ -130,6 +133,9 @@
 	service  pact.ServiceID
 	keep     time.Time
 	opening  *opening
+	// lostUntil is how long bare acknowledgments of a flow that every endpoint
+	// has denied are not asked for again.
+	lostUntil time.Time
 	// denied is kept while the flow is asked for a second time.
 	denied *denial
 }
@@ -244,6 +250,13 @@
 		g.lookup(now, p.Packet, p.Raw, 0, false)
 		return
 	}
+	if now.Before(x.lostUntil) && !wantsAnswer(p.Packet) {
+		g.add(Drop{
+			Packet: p.Packet,
+			Why:    OwnerUnknown,
+		})
+		return
+	}
 	x.keep = now.Add(ownerKeep)
 	if p.IsReset() {
 		delete(g.flows, p.Key)
@@ -350,10 +363,16 @@
 	})
 }
 
+// wantsAnswer tells whether the caller waits for an answer to the packet: it sends
+// bytes, or closes its end. A bare acknowledgment or a reset asks for nothing.
+func wantsAnswer(p link.Packet) bool {
+	return !p.IsReset() && (p.Payload > 0 || p.Kind == link.Closing)
+}
+
 // endUnrouted answers a packet of a flow whose target has no route. A caller that
 // waits for an answer is told; a bare acknowledgment asks for nothing.
 func (g *Guide) endUnrouted(p link.Packet) {
-	if p.Payload == 0 || p.IsReset() {
+	if !wantsAnswer(p) {
 		g.add(Drop{
 			Packet: p,
 			Why:    NoRoute,
@@ -427,6 +446,7 @@
 	}
 	x.opening = nil
 	x.denied = nil
+	x.lostUntil = time.Time{}
 	next := owner{
 		host:    o.Host,
 		initial: o.Initial,
@@ -466,18 +486,22 @@
 		g.denied(now, x, e)
 		return
 	}
-	if !e.Sure || p.Payload == 0 {
+	if !ok {
+		if x = g.remember(now, p.Key); x == nil {
+			return
+		}
+	}
+	if !e.Sure || !wantsAnswer(p) {
+		if e.Sure && x.owners[0].host == 0 {
+			x.lostUntil = now.Add(lostFor)
+			x.keep = x.lostUntil
+		}
 		g.add(Drop{
 			Packet: p,
 			Why:    OwnerUnknown,
 		})
 		return
 	}
-	if !ok {
-		if x = g.remember(now, p.Key); x == nil {
-			return
-		}
-	}
 	x.keep = now.Add(openingKeep)
 	if x.denied != nil && x.denied.asked {
 		delete(g.flows, p.Key)
@@ -544,7 +568,7 @@
 	if x != nil {
 		owned = x.forget(e.Host, p)
 	}
-	if e.Sure && owned && p.Payload > 0 {
+	if e.Sure && owned && wantsAnswer(p) {
 		delete(g.flows, p.Key)
 		g.add(Reset{
 			Packet: p,
--- a/internal/relay/guide/script_test.go
+++ b/internal/relay/guide/script_test.go
@@ -35,6 +35,7 @@
 const (
 	self = frame.Host(90)
 
+	flagFin = 0x01
 	flagSyn = 0x02
 	flagRst = 0x04
 	flagAck = 0x10
@@ -90,7 +91,7 @@
 				Known:   l.Int("initial", 0) != 0,
 			},
 		}
-	case "denied", "walked", "rejected":
+	case "denied", "walked", "walkedfin", "walkedack", "rejected":
 		return guide.Return{
 			Packet: p,
 			Stray: frame.Stray{
@@ -130,7 +131,11 @@
 		p.Kind = link.Opening
 		p.Flags = flagSyn
 		p.Payload = 0
-	case "ack":
+	case "ack", "walkedack":
+		p.Payload = 0
+	case "fin", "walkedfin":
+		p.Kind = link.Closing
+		p.Flags |= flagFin
 		p.Payload = 0
 	case "rst":
 		p.Kind = link.Closing
