guide: ask all candidates where one list does not hold them; hold: openings get their share

Candidates are now asked in as many lists as they need, and a silent one makes the search unsure. Ruled out: false denials (each asked endpoint denied rightly).

--- a/internal/relay/agent/fleet.go
+++ b/internal/relay/agent/fleet.go
@@ -158,6 +158,7 @@
 		}
 	}
 	l.Balancers = roster.Digest(confirmed)
+	l.Every = uint16(roster.LoadEvery(len(a.balancers)).Milliseconds())
 	return l
 }
 
@@ -189,7 +190,7 @@
 		a.mutex.Lock()
 		a.act(a.hold.Step(now, hold.Tick{}))
 		if now.After(reportAt) {
-			reportAt = now.Add(roster.LoadEvery)
+			reportAt = now.Add(roster.LoadEvery(len(a.balancers)))
 			a.report(now, false)
 		}
 		a.mutex.Unlock()
--- a/internal/relay/frame/codec.go
+++ b/internal/relay/frame/codec.go
@@ -22,7 +22,7 @@
 	case *Carry:
 		return appendCarry(out, m)
 	case Stray:
-		out = append(out, magic, version, kindStray, flag(m.Sure, bitOne)|flag(m.Walked, bitTwo), m.Reason)
+		out = append(out, magic, version, kindStray, flag(m.Sure, bitOne)|flag(m.Walked, bitTwo), m.Reason, m.Leg)
 		out = order.AppendUint32(out, uint32(m.Host))
 		return append(out, m.Packet...)
 	case Owner:
@@ -49,7 +49,7 @@
 	out = append(out, magic, version, kindCarry, m.Flags, m.Position, m.Best, byte(len(m.List)))
 	out = order.AppendUint16(out, m.BestLoad)
 	out = order.AppendUint16(out, m.Aim)
-	out = append(out, m.Urgency)
+	out = append(out, m.Urgency, m.Leg)
 	out = order.AppendUint64(out, uint64(m.Service))
 	out = order.AppendUint32(out, uint32(m.Balancer))
 	out = order.AppendUint32(out, uint32(m.Home))
@@ -84,7 +84,7 @@
 	out = order.AppendUint64(out, m.Born)
 	out = order.AppendUint64(out, m.Balancers)
 	out = order.AppendUint32(out, m.Sequence)
-	for _, n := range [...]uint16{m.Slots, m.InUse, m.Average, m.Flows, m.Cold} {
+	for _, n := range [...]uint16{m.Slots, m.InUse, m.Average, m.Flows, m.Cold, m.Every} {
 		out = order.AppendUint16(out, n)
 	}
 	return out
@@ -181,6 +181,7 @@
 	c.BestLoad = r.uint16()
 	c.Aim = r.uint16()
 	c.Urgency = r.byte()
+	c.Leg = r.byte()
 	c.Service = pact.ServiceID(r.uint64())
 	c.Balancer = r.host()
 	c.Home = r.host()
@@ -198,6 +199,7 @@
 		Sure:   bits&bitOne != 0,
 		Walked: bits&bitTwo != 0,
 		Reason: r.byte(),
+		Leg:    r.byte(),
 		Host:   r.host(),
 	}
 	m.Packet = r.rest
@@ -239,6 +241,7 @@
 		Average:   r.uint16(),
 		Flows:     r.uint16(),
 		Cold:      r.uint16(),
+		Every:     r.uint16(),
 	}
 }
 
--- a/internal/relay/frame/frame.go
+++ b/internal/relay/frame/frame.go
@@ -89,6 +89,9 @@
 	// BestLoad its load in 64ths of its slots.
 	Best     uint8
 	BestLoad uint16
+	// Leg counts the lists before this one, where all candidates do not fit into
+	// one.
+	Leg uint8
 	// Aim is the latency objective of the route in milliseconds, and Urgency its
 	// priority, 0 before others; both count for openings only.
 	Aim     uint16
@@ -112,8 +115,10 @@
 	// Sure tells that the flow is with none of those asked; otherwise one of
 	// them did not answer or the list was not complete.
 	Sure bool
-	// Walked tells that a whole list was asked, not just the believed owner.
+	// Walked tells that a whole list was asked, not just the believed owner, and
+	// Leg which one.
 	Walked bool
+	Leg    uint8
 	Packet []byte
 }
 
@@ -154,6 +159,8 @@
 	Flows   uint16
 	// Cold is how many milliseconds the endpoint stays slow.
 	Cold uint16
+	// Every is the interval of the sender's reports in milliseconds.
+	Every uint16
 	// Balancers is the digest of the balancers that the sender knows.
 	Balancers uint64
 }
--- a/internal/relay/frame/frame_test.go
+++ b/internal/relay/frame/frame_test.go
@@ -22,6 +22,7 @@
 			BestLoad: 300,
 			Aim:      250,
 			Urgency:  1,
+			Leg:      2,
 			Service:  77,
 			Balancer: 0x0a010203,
 			Home:     0x0a010204,
@@ -33,6 +34,7 @@
 			Reason: 3,
 			Sure:   true,
 			Walked: true,
+			Leg:    2,
 			Packet: []byte("packet"),
 		},
 		frame.Owner{
@@ -63,6 +65,7 @@
 			Average:   9,
 			Flows:     10,
 			Cold:      11,
+			Every:     13,
 			Balancers: 12,
 		},
 		frame.Pulse{
--- a/internal/relay/guide/guide.go
+++ b/internal/relay/guide/guide.go
@@ -8,6 +8,7 @@
 package guide
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -247,7 +248,7 @@
 	}
 	x, ok := g.flows[p.Key]
 	if !ok {
-		g.lookup(now, p.Packet, p.Raw, 0, false)
+		g.lookup(now, p.Packet, p.Raw, search{})
 		return
 	}
 	if now.Before(x.lostUntil) && !wantsAnswer(p.Packet) {
@@ -266,7 +267,7 @@
 	}
 	host := x.ownerOf(p.Packet)
 	if host == 0 || g.lostTo(now, host) {
-		g.lookup(now, p.Packet, p.Raw, 0, false)
+		g.lookup(now, p.Packet, p.Raw, search{})
 		return
 	}
 	g.add(Send{
@@ -319,7 +320,17 @@
 	}
 }
 
-func (g *Guide) lookup(now time.Time, p link.Packet, raw []byte, denier frame.Host, sure bool) {
+// search is how far the search for a flow's owner has come.
+type search struct {
+	// denier has denied the flow, if it is not 0.
+	denier frame.Host
+	// unsure tells that somebody asked could not say.
+	unsure bool
+	// leg counts the lists that were asked.
+	leg uint8
+}
+
+func (g *Guide) lookup(now time.Time, p link.Packet, raw []byte, s search) {
 	current := g.held.Current()
 	if current == nil {
 		g.add(Drop{
@@ -334,7 +345,13 @@
 		return
 	}
 	list, settled := g.ownersOf(now, p.Key, route)
-	list = withoutHost(list, denier, sure)
+	list = withoutHost(list, s.denier, !s.unsure)
+	home := frame.Host(0)
+	if len(list) > 0 {
+		home = list[0]
+	}
+	list = list[min(int(s.leg)*frame.MaxList, len(list)):]
+	list = list[:min(len(list), frame.MaxList)]
 	if len(list) == 0 {
 		g.add(Drop{
 			Packet: p,
@@ -343,9 +360,12 @@
 		return
 	}
 	flags := uint8(0)
-	if settled && (denier == 0 || sure) {
+	if settled {
 		flags |= frame.Settled
 	}
+	if s.unsure {
+		flags |= frame.Unsure
+	}
 	g.add(Send{
 		To:   list[0],
 		Key:  p.Key,
@@ -354,9 +374,10 @@
 		Carry: &frame.Carry{
 			Flags:    flags,
 			Best:     frame.NoBest,
+			Leg:      s.leg,
 			Service:  route.Choose(p.Key.Hash()),
 			Balancer: g.self,
-			Home:     list[0],
+			Home:     home,
 			List:     list,
 			Packet:   raw,
 		},
@@ -388,25 +409,44 @@
 // ownersOf lists everybody who may own a flow of a route. The list is settled if
 // it is complete and old enough that every member had time to be heard.
 func (g *Guide) ownersOf(now time.Time, key link.Key, route *plan.Route) (list []frame.Host, settled bool) {
-	count := 0
 	hash := key.Hash()
 	first := route.Choose(hash)
 	isolated := g.members.Isolated(now)
 	list = place.Lookup(now, hash, isolated, g.members.Service(first))
-	count = len(list)
 	for i := range route.Parts {
-		if route.Parts[i].Service == first {
-			continue
+		if other := route.Parts[i].Service; other != first {
+			list = append(list, place.Lookup(now, hash, isolated, g.members.Service(other))...)
 		}
-		more := place.Lookup(now, hash, isolated, g.members.Service(route.Parts[i].Service))
-		count += len(more)
-		list = append(list, more...)
 	}
-	list = list[:min(len(list), frame.MaxList)]
-	settled = count <= frame.MaxList && !isolated && g.members.Complete(now) && !now.Before(g.settledAt)
+	settled = !isolated && g.members.Complete(now) && !now.Before(g.settledAt)
+	if len(list) > frame.MaxList && g.anySilent(now, list) {
+		// Who falls silent moves in the order, and could be missed between two
+		// lists.
+		settled = false
+	}
 	return list, settled
 }
 
+func (g *Guide) anySilent(now time.Time, list []frame.Host) bool {
+	return slices.ContainsFunc(list, func(h frame.Host) bool {
+		return g.members.Side(h).Silent(now)
+	})
+}
+
+// moreToAsk tells whether candidates are left after a list was asked.
+func (g *Guide) moreToAsk(now time.Time, p link.Packet, leg uint8) bool {
+	current := g.held.Current()
+	if current == nil {
+		return false
+	}
+	route, ok := current.Routes[plan.TargetOf(p.Key)]
+	if !ok || leg == math.MaxUint8 {
+		return false
+	}
+	list, _ := g.ownersOf(now, p.Key, route)
+	return (int(leg)+1)*frame.MaxList < len(list)
+}
+
 // withoutHost takes a host out of the list, or puts it last if it cannot say
 // whether it owns the flow.
 func withoutHost(list []frame.Host, host frame.Host, sure bool) (out []frame.Host) {
@@ -486,6 +526,13 @@
 		g.denied(now, x, e)
 		return
 	}
+	if g.moreToAsk(now, p, e.Leg) {
+		g.lookup(now, p, e.Stray.Packet, search{
+			unsure: !e.Sure,
+			leg:    e.Leg + 1,
+		})
+		return
+	}
 	if !ok {
 		if x = g.remember(now, p.Key); x == nil {
 			return
@@ -551,7 +598,7 @@
 		g.denials = g.denials[1:]
 		if x, ok := g.flows[d.key]; ok && x.denied == d {
 			d.asked = true
-			g.lookup(now, d.packet, d.raw, 0, false)
+			g.lookup(now, d.packet, d.raw, search{})
 		}
 	}
 	if len(g.denials) == 0 {
@@ -576,7 +623,10 @@
 		})
 		return
 	}
-	g.lookup(now, p, e.Stray.Packet, e.Host, e.Sure)
+	g.lookup(now, p, e.Stray.Packet, search{
+		denier: e.Host,
+		unsure: !e.Sure,
+	})
 }
 
 // forget takes a host out of the owners. It tells whether the host was the only
--- a/internal/relay/guide/script_test.go
+++ b/internal/relay/guide/script_test.go
@@ -65,6 +65,15 @@
 	case "plan":
 		w.held.Adopt(routes(l))
 		return nil
+	case "loads":
+		// As many side processes, from host 1 on.
+		for i := range l.Int("count", 0) {
+			w.reports++
+			one := load(l, w.reports)
+			one.Host = frame.Host(i + 1)
+			w.members.Hear(l.At, one)
+		}
+		return nil
 	case "load":
 		w.reports++
 		w.members.Hear(l.At, load(l, w.reports))
@@ -98,6 +107,7 @@
 				Host:   frame.Host(l.Int("host", 0)),
 				Sure:   l.Has("sure"),
 				Walked: l.Event != "denied",
+				Leg:    uint8(l.Int("leg", 0)),
 				Packet: []byte("packet"),
 			},
 		}
@@ -209,12 +219,19 @@
 		switch a := a.(type) {
 		case guide.Send:
 			text := fmt.Sprintf("%s to", a.Why)
-			for _, h := range a.Carry.List {
-				text += fmt.Sprintf(" %d", h)
+			if len(a.Carry.List) > 20 {
+				text += fmt.Sprintf(" %d of them, leg %d", len(a.Carry.List), a.Carry.Leg)
+			} else {
+				for _, h := range a.Carry.List {
+					text += fmt.Sprintf(" %d", h)
+				}
 			}
 			if a.Carry.Flags&frame.Settled != 0 {
 				text += ", settled"
 			}
+			if a.Carry.Flags&frame.Unsure != 0 {
+				text += ", unsure"
+			}
 			Expect(a.To).To(Equal(a.Carry.List[0]))
 			out = append(out, text)
 		case guide.Found:
--- a/internal/relay/hold/arrive.go
+++ b/internal/relay/hold/arrive.go
@@ -170,6 +170,7 @@
 			Reason: uint8(why),
 			Sure:   c.Flags&frame.Unsure == 0 && (!walked || c.Flags&frame.Settled != 0),
 			Walked: walked,
+			Leg:    c.Leg,
 			Packet: c.Packet,
 		},
 		Key: p.Key,
--- a/internal/relay/hold/hold.go
+++ b/internal/relay/hold/hold.go
@@ -217,6 +217,8 @@
 	elsewhere map[link.Key]place
 	// waiting are openings that wait for a free slot.
 	waiting map[link.Key]*waiter
+	// share is what openings that wait have of the next finished request.
+	share float64
 	// work is how long the endpoint takes over a request.
 	work     time.Duration
 	marks    [markSlots]mark
--- a/internal/relay/hold/wait.go
+++ b/internal/relay/hold/wait.go
@@ -23,6 +23,13 @@
 	// arrive. A slot given later than that stays empty.
 	attemptFor = 1400 * time.Millisecond
 	attemptEnd = 60 * time.Millisecond
+	// shareOpenings is the share of finished requests after which an opening that
+	// waits goes to the endpoint although no slot is free: where requests on open
+	// flows keep all of them in use, openings would never get one.
+	shareOpenings = 0.5
+	// overMost bounds what the endpoint has in hand for it, in slots; beyond about
+	// this endpoints shed.
+	overMost = 4
 	// firstWork is what a request takes until one has been seen.
 	firstWork = 60 * time.Millisecond
 	// workShare is the weight of one request in the average.
@@ -45,6 +52,12 @@
 
 // worked takes the time from a request to the first byte of its answer.
 func (h *Hold) worked(took time.Duration) {
+	// The finished request still counts as in use here.
+	if len(h.waiting) == 0 || h.inUse <= h.room() {
+		h.share = 0
+		return
+	}
+	h.share = min(h.share+shareOpenings, 1)
 	h.work += time.Duration(float64(took-h.work) * workShare)
 }
 
@@ -104,7 +117,10 @@
 		w := h.nextWaiting(now)
 		why, passes := h.passesOn(now, w.carry)
 		if !passes && h.inUse >= h.room() {
-			return
+			if h.share < 1 || h.inUse >= int(h.endpoint.slots)*overMost {
+				return
+			}
+			h.share--
 		}
 		delete(h.waiting, w.packet.Key)
 		if !passes {
--- a/internal/relay/place/place.go
+++ b/internal/relay/place/place.go
@@ -28,9 +28,10 @@
 	// endpoints.
 	weightNow     = 0.1
 	weightAverage = 1.0
-	// costZone is what another failure domain may have less in load: a hop of a
-	// millisecond there and back against a queue of tens of milliseconds.
-	costZone = 0.12
+	// costZone is what another failure domain may have less in load. Bytes between
+	// failure domains are paid for, and a hop costs a millisecond each way; a
+	// failure domain whose endpoints are fuller by this much still shares.
+	costZone = 0.4
 	// costCold is the share of work that a cold endpoint takes longer.
 	costCold = 0.6
 	// costUnproven keeps endpoints nobody has heard of behind others.
@@ -125,7 +126,6 @@
 		}
 		return cmp.Compare(a.cost, b.cost)
 	})
-	room = room[:min(len(room), frame.MaxList)]
 	list = make([]frame.Host, len(room))
 	for i := range room {
 		list[i] = room[i].host
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -14,13 +14,20 @@
 )
 
 const (
-	// LoadEvery is the interval of a side process's reports. New flows are
-	// placed by reports; ten flows a second and endpoint change little in it.
-	LoadEvery = 250 * time.Millisecond
+	// loadLeast is the interval of a side process's reports to a few balancers.
+	// New flows are placed by reports; ten flows a second and endpoint change
+	// little in it.
+	loadLeast = 250 * time.Millisecond
+	// loadBalancers is how many balancers are told at that interval; for more of
+	// them it grows, so that the reports of a process stay as many, up to
+	// loadMost, of which three still come before a process counts as absent.
+	loadBalancers = 8
+	loadMost      = 750 * time.Millisecond
 	// PulseEvery is the interval of a balancer's pulses.
 	PulseEvery = 400 * time.Millisecond
-	// silentAfter is three missed reports and some delay.
-	silentAfter = 900 * time.Millisecond
+	// silentReports missed and silentDelay make a side process silent.
+	silentReports = 3
+	silentDelay   = 150 * time.Millisecond
 	// forgetAfter is how long a silent side process stays a possible owner: as
 	// long as the longest-lived flow of the platform.
 	forgetAfter = 65 * time.Second
@@ -35,9 +42,9 @@
 	// report is recognised.
 	goneAfter = 10 * time.Second
 	// joinedFor is how long after the last one joined the members count as
-	// complete: one report, which every side process sends to every balancer,
-	// and its delay.
-	joinedFor = 300 * time.Millisecond
+	// complete: one report of the longest interval, which every side process
+	// sends to every balancer, and its delay.
+	joinedFor = loadMost + silentDelay
 	// dropBalancer is how long a silent balancer stays known.
 	dropBalancer = 15 * time.Second
 	// aliveFor is how fresh a pulse is of a balancer that shares turns.
@@ -154,9 +161,15 @@
 	return r.services[id]
 }
 
+// LoadEvery is the interval of reports to a number of balancers.
+func LoadEvery(balancers int) time.Duration {
+	return min(max(loadLeast, loadLeast*time.Duration(balancers)/loadBalancers), loadMost)
+}
+
 // Silent tells whether the side process has missed its reports.
 func (s *Side) Silent(now time.Time) bool {
-	return now.After(s.HeardAt.Add(silentAfter))
+	every := max(time.Duration(s.Every)*time.Millisecond, loadLeast)
+	return now.After(s.HeardAt.Add(silentReports*every + silentDelay))
 }
 
 // Takes tells whether the endpoint may be given new flows.
--- a/internal/relay/roster/roster_test.go
+++ b/internal/relay/roster/roster_test.go
@@ -1,6 +1,8 @@
 package roster_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -78,6 +80,7 @@
 		Born:     uint64(l.Int("born", 5)),
 		Sequence: uint32(l.Int("number", 1)),
 		Refuses:  l.Has("refuses"),
+		Every:    uint16(l.Int("every", 250)),
 	}
 	switch {
 	case l.Has("gone"):
@@ -97,3 +100,12 @@
 		Expect(roster.Digest([]frame.Host{3, 1})).NotTo(Equal(a))
 	})
 })
+
+var _ = Describe("LoadEvery", func() {
+	It("grows with the balancers, within bounds", func() {
+		Expect(roster.LoadEvery(0)).To(Equal(250 * time.Millisecond))
+		Expect(roster.LoadEvery(8)).To(Equal(250 * time.Millisecond))
+		Expect(roster.LoadEvery(21)).To(BeNumerically("~", 656*time.Millisecond, time.Millisecond))
+		Expect(roster.LoadEvery(300)).To(Equal(750 * time.Millisecond))
+	})
+})
