hold: an endpoint takes its share of the long flows

An endpoint that joins empty is the idlest for every balancer until its next report. The estimate of work is kept again where nothing waits (it stood still since openings got their share).

--- a/internal/relay/frame/codec.go
+++ b/internal/relay/frame/codec.go
@@ -48,6 +48,7 @@
 func appendCarry(out []byte, m *Carry) []byte {
 	out = append(out, magic, version, kindCarry, m.Flags, m.Position, m.Best, byte(len(m.List)))
 	out = order.AppendUint16(out, m.BestLoad)
+	out = order.AppendUint16(out, m.Share)
 	out = order.AppendUint16(out, m.Aim)
 	out = append(out, m.Urgency, m.Leg)
 	out = order.AppendUint64(out, uint64(m.Service))
@@ -179,6 +180,7 @@
 	}
 	count := int(r.byte())
 	c.BestLoad = r.uint16()
+	c.Share = r.uint16()
 	c.Aim = r.uint16()
 	c.Urgency = r.byte()
 	c.Leg = r.byte()
--- a/internal/relay/frame/frame.go
+++ b/internal/relay/frame/frame.go
@@ -92,6 +92,9 @@
 	// Leg counts the lists before this one, where all candidates do not fit into
 	// one.
 	Leg uint8
+	// Share is how many flows a slot of the service holds on average, in 16ths; 0
+	// is unknown. It counts for openings only.
+	Share uint16
 	// Aim is the latency objective of the route in milliseconds, and Urgency its
 	// priority, 0 before others; both count for openings only.
 	Aim     uint16
@@ -156,7 +159,8 @@
 	// over the last seconds in 64ths of a request.
 	InUse   uint16
 	Average uint16
-	Flows   uint16
+	// Flows are those that are open.
+	Flows uint16
 	// Cold is how many milliseconds the endpoint stays slow.
 	Cold uint16
 	// Every is the interval of the sender's reports in milliseconds.
--- a/internal/relay/frame/frame_test.go
+++ b/internal/relay/frame/frame_test.go
@@ -20,6 +20,7 @@
 			Position: 1,
 			Best:     0,
 			BestLoad: 300,
+			Share:    160,
 			Aim:      250,
 			Urgency:  1,
 			Leg:      2,
--- a/internal/relay/guide/guide.go
+++ b/internal/relay/guide/guide.go
@@ -163,7 +163,8 @@
 	raw    []byte
 	list   []frame.Host
 	home   frame.Host
-	// aim and urgency are the route's.
+	// share is the service's; aim and urgency are the route's.
+	share   uint16
 	aim     uint16
 	urgency uint8
 	// startedAt is when the caller's packet came, sentAt when it was last sent.
@@ -577,7 +578,7 @@
 // rejected refuses an opening that no candidate takes, unless another copy of it
 // has been accepted meanwhile.
 func (g *Guide) rejected(x *entry, e Return) {
-	if x == nil || x.opening == nil || x.sequence != e.Packet.Sequence {
+	if x == nil || x.sequence != e.Packet.Sequence || x.opening == nil && !x.waitsAt(e.Host) {
 		g.add(Drop{
 			Packet: e.Packet,
 			Why:    AllRejected,
@@ -591,6 +592,11 @@
 	})
 }
 
+// waitsAt tells whether the opening was last known to wait at a side process.
+func (x *entry) waitsAt(h frame.Host) bool {
+	return x.owners[0].host == h && !x.owners[0].known && x.owners[1].host == 0
+}
+
 // askAgain looks a second time for flows that every endpoint has denied.
 func (g *Guide) askAgain(now time.Time) {
 	for len(g.denials) > 0 && !now.Before(g.denials[0].due) {
--- a/internal/relay/guide/open.go
+++ b/internal/relay/guide/open.go
@@ -89,6 +89,7 @@
 		raw:       slices.Clone(p.Raw),
 		list:      list,
 		home:      place.Home(now, hash, g.members.Service(service)),
+		share:     g.members.FlowShare(now, service),
 		aim:       uint16(min(route.Aim.Milliseconds(), math.MaxUint16)),
 		urgency:   route.Urgency,
 		startedAt: now,
@@ -126,6 +127,7 @@
 		Why:  why,
 		Carry: &frame.Carry{
 			Best:     frame.NoBest,
+			Share:    o.share,
 			Aim:      o.aim,
 			Urgency:  o.urgency,
 			Service:  x.service,
--- a/internal/relay/hold/arrive.go
+++ b/internal/relay/hold/arrive.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/relay/roster"
 	"github.com/clementinewing/clementinewing/internal/world/link"
 	"github.com/clementinewing/clementinewing/internal/world/node"
 )
@@ -109,6 +110,9 @@
 		return TableFull, true
 	case !e.proven && h.inUse > 0:
 		return Unproven, true
+	case h.openFlows >= h.flowsMost(c) && c.Flags&frame.Chosen == 0:
+		h.consider(c)
+		return FlowsFull, true
 	case h.inUse >= h.room() && c.Flags&frame.Chosen == 0:
 		h.consider(c)
 		return SlotsFull, true
@@ -117,6 +121,13 @@
 	}
 }
 
+// flowsMost is how many open flows the endpoint may hold until others are asked
+// first.
+func (h *Hold) flowsMost(c *frame.Carry) int {
+	slots := float64(h.endpoint.slots)
+	return int(max(shareMost*float64(c.Share)/roster.ShareUnit, shareFloor) * slots)
+}
+
 // room is how many requests and openings the endpoint is given at once: one more
 // than it has slots, since a caller's request comes a round trip after its
 // opening is answered and the slot would be idle meanwhile.
--- a/internal/relay/hold/flow.go
+++ b/internal/relay/hold/flow.go
@@ -185,6 +185,7 @@
 	f.known = true
 	f.initial = p.Sequence
 	f.highest = p.Sequence + 1
+	h.openFlows++
 	h.add(Accepted{
 		Key:    p.Key,
 		InUse:  h.inUse,
--- a/internal/relay/hold/hold.go
+++ b/internal/relay/hold/hold.go
@@ -39,6 +39,12 @@
 	mostElsewhere = 50_000
 	// markSlots is how many packets in the endpoint's hands are remembered.
 	markSlots = 1 << 11
+	// shareMost is how many times the average share of open flows an endpoint may
+	// hold, and shareFloor the flows for each slot that it may hold in any case.
+	// The load it answers: an endpoint that joins empty is the idlest for every
+	// balancer until its next report, and long flows that gather there stay.
+	shareMost  = 1.25
+	shareFloor = 8
 	// averageOver is the time constant of the average load: it spans a few
 	// requests of a long flow.
 	averageOver = 2 * time.Second
@@ -224,12 +230,14 @@
 	marks    [markSlots]mark
 	nextMark uint32
 	// timed are the marks that have a deadline, oldest first.
-	timed   []uint32
-	inUse   int
-	average float64
-	tickAt  time.Time
-	sweepAt time.Time
-	out     []Action
+	timed []uint32
+	inUse int
+	// openFlows counts the flows that are open.
+	openFlows int
+	average   float64
+	tickAt    time.Time
+	sweepAt   time.Time
+	out       []Action
 }
 
 // place is where a flow lives.
@@ -313,7 +321,7 @@
 		Slots:   e.slots,
 		InUse:   uint16(min(h.inUse+len(h.waiting), 0xffff)),
 		Average: uint16(min(h.average*loadUnit, 0xffff)),
-		Flows:   uint16(min(len(h.flows), 0xffff)),
+		Flows:   uint16(min(h.openFlows, 0xffff)),
 		Cold:    uint16(max(0, min(e.coldUntil.Sub(now).Milliseconds(), 0xffff))),
 	}
 }
@@ -358,7 +366,11 @@
 const sweepEvery = 60 * time.Millisecond
 
 func (h *Hold) sweep(now time.Time) {
+	h.openFlows = 0
 	for k, f := range h.flows {
+		if f.known && f.fins == 0 {
+			h.openFlows++
+		}
 		switch {
 		case now.After(f.keep):
 			h.use(f, phaseIdle)
--- a/internal/relay/hold/reason.go
+++ b/internal/relay/hold/reason.go
@@ -17,6 +17,8 @@
 	TableFull
 	// SlotsFull: every slot of the endpoint is in use.
 	SlotsFull
+	// FlowsFull: the endpoint has its share of open flows.
+	FlowsFull
 	// QueueFull: as many openings wait for a slot as can be served in time.
 	QueueFull
 	// WaitedLong: the opening waited for a slot until its caller gave up.
@@ -54,6 +56,7 @@
 	Unproven:          "unproven",
 	TableFull:         "table_full",
 	SlotsFull:         "slots_full",
+	FlowsFull:         "flows_full",
 	QueueFull:         "queue_full",
 	WaitedLong:        "waited_long",
 	UnknownFlow:       "unknown_flow",
--- a/internal/relay/hold/script_test.go
+++ b/internal/relay/hold/script_test.go
@@ -152,6 +152,7 @@
 		Service:  pact.Identify(service),
 		Balancer: frame.Host(l.Int("from", 90)),
 		Home:     frame.Host(l.Int("home", 0)),
+		Share:    uint16(l.Int("share", 0)),
 		Aim:      uint16(l.Int("aim", 250)),
 		Urgency:  uint8(l.Int("urgency", 2)),
 		List:     []frame.Host{self},
--- a/internal/relay/hold/wait.go
+++ b/internal/relay/hold/wait.go
@@ -52,13 +52,13 @@
 
 // worked takes the time from a request to the first byte of its answer.
 func (h *Hold) worked(took time.Duration) {
+	h.work += time.Duration(float64(took-h.work) * workShare)
 	// The finished request still counts as in use here.
 	if len(h.waiting) == 0 || h.inUse <= h.room() {
 		h.share = 0
 		return
 	}
 	h.share = min(h.share+shareOpenings, 1)
-	h.work += time.Duration(float64(took-h.work) * workShare)
 }
 
 // wait lets an opening wait for a slot.
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -166,6 +166,25 @@
 	return min(max(loadLeast, loadLeast*time.Duration(balancers)/loadBalancers), loadMost)
 }
 
+// ShareUnit is one flow for each slot in the result of FlowShare.
+const ShareUnit = 16
+
+// FlowShare is how many open flows a slot of the service holds on average, over
+// the endpoints that take new ones; 0 if there is none.
+func (r *Roster) FlowShare(now time.Time, id pact.ServiceID) uint16 {
+	flows, slots := 0, 0
+	for _, s := range r.services[id] {
+		if s.Takes(now) && s.Proven {
+			flows += int(s.Flows)
+			slots += int(s.Slots)
+		}
+	}
+	if slots == 0 {
+		return 0
+	}
+	return uint16(min(flows*ShareUnit/slots, 0xffff))
+}
+
 // Silent tells whether the side process has missed its reports.
 func (s *Side) Silent(now time.Time) bool {
 	every := max(time.Duration(s.Every)*time.Millisecond, loadLeast)
