--- /dev/null
+++ b/cmd/clementinewing/explain.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/clementinewing/clementinewing/internal/relay/story"
+)
+
+var errExplainUsage = errors.New("name a request id or a flow, then log files")
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell the story of one request or flow from the logs of several processes",
+		ArgsUsage: "ID|FLOW FILE...",
+		Description: "A flow is written as in the logs, CALLER>TARGET. Lines come in the order of\n" +
+			"their times, which are those of the processes' own clocks.",
+		Action: runExplain,
+	}
+}
+
+func runExplain(_ context.Context, c *cli.Command) error {
+	args := c.Args().Slice()
+	if len(args) < 2 {
+		return errExplainUsage
+	}
+	var lines []*story.Line
+	for _, path := range args[1:] {
+		more, err := readLog(path)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, more...)
+	}
+	told, err := story.Tell(lines, args[0])
+	if err != nil {
+		return err
+	}
+	for _, l := range told {
+		fmt.Println(l)
+	}
+	return nil
+}
+
+func readLog(path string) (lines []*story.Line, err error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, f.Close()) }()
+	return story.Read(f)
+}
--- a/cmd/clementinewing/table.go
+++ b/cmd/clementinewing/table.go
@@ -14,5 +14,6 @@
 		decideCommand(),
 		historyCommand(),
 		keygenCommand(),
+		explainCommand(),
 	}
 }
--- a/internal/edge/logs/logs.go
+++ b/internal/edge/logs/logs.go
@@ -12,6 +12,7 @@
 )
 
 const (
+	timeFormat = "2006-01-02T15:04:05.000Z07:00"
 	// bufferLines is how many lines wait for the stream.
 	bufferLines = 2048
 	// flowLines is how many lines of routine decisions a process writes in
@@ -36,6 +37,8 @@
 // New writes the lines of a process to out.
 func New(out io.Writer, role, name string) *Logs {
 	l := &Logs{}
+	// Milliseconds put the lines of several processes in order.
+	zerolog.TimeFieldFormat = timeFormat
 	l.writer = diode.NewWriter(out, bufferLines, 0, func(missed int) {
 		l.dropped.Add(uint64(missed))
 	})
--- /dev/null
+++ b/internal/edge/logs/logs_test.go
@@ -0,0 +1,69 @@
+package logs_test
+
+import (
+	"bytes"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/clementinewing/clementinewing/internal/edge/logs"
+)
+
+func TestLogs(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "logs")
+}
+
+// gate is a stream that takes nothing until it is opened.
+type gate struct {
+	mutex  sync.Mutex
+	open   chan struct{}
+	buffer bytes.Buffer
+}
+
+func (g *gate) Write(b []byte) (int, error) {
+	<-g.open
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.buffer.Write(b)
+}
+
+var _ = Describe("Logs", func() {
+	It("never waits for a stream that is not read, and counts what is lost", func() {
+		g := &gate{
+			open: make(chan struct{}),
+		}
+		l := logs.New(g, "balancer", "a")
+		done := make(chan struct{})
+		go func() {
+			// More lines than wait for the stream, past the sampling.
+			for range 200 {
+				for range 400 {
+					l.Trouble.Info().Msg("line")
+				}
+				for range 200 {
+					l.Routine.Info().Msg("line")
+				}
+			}
+			close(done)
+		}()
+		Eventually(done, time.Minute).Should(BeClosed())
+		close(g.open)
+		Expect(l.Close()).To(Succeed())
+	})
+
+	It("samples routine lines before others", func() {
+		var b bytes.Buffer
+		l := logs.New(&b, "balancer", "a")
+		for range 300 {
+			l.Routine.Info().Msg("routine")
+			l.Trouble.Info().Msg("trouble")
+		}
+		Expect(l.Close()).To(Succeed())
+		Expect(bytes.Count(b.Bytes(), []byte("trouble"))).To(Equal(300))
+		Expect(bytes.Count(b.Bytes(), []byte("routine"))).To(BeNumerically("<", 300))
+	})
+})
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -41,10 +41,6 @@
 	// goneAfter is how long an endpoint that left stays known, so that a late
 	// report is recognised.
 	goneAfter = 10 * time.Second
-	// joinedFor is how long after the last one joined the members count as
-	// complete: one report of the longest interval, which every side process
-	// sends to every balancer, and its delay.
-	joinedFor = loadMost + silentDelay
 	// dropBalancer is how long a silent balancer stays known.
 	dropBalancer = 15 * time.Second
 	// aliveFor is how fresh a pulse is of a balancer that shares turns.
@@ -255,6 +251,8 @@
 // and long enough ago that the last one to join is known to all.
 func (r *Roster) Complete(now time.Time) bool {
 	r.expireNamed(now)
+	// One report, which every side process sends to every balancer, and its delay.
+	joinedFor := LoadEvery(len(r.balancers)+1) + silentDelay
 	return len(r.named) == 0 && now.After(r.gainedAt.Add(joinedFor))
 }
 
--- /dev/null
+++ b/internal/relay/story/story_test.go
@@ -0,0 +1,52 @@
+package story_test
+
+import (
+	"os"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/clementinewing/clementinewing/internal/relay/story"
+)
+
+func TestStory(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "story")
+}
+
+func read() []*story.Line {
+	f, err := os.Open("testdata/two.log")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(f.Close)
+	lines, err := story.Read(f)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(lines).To(HaveLen(7))
+	return lines
+}
+
+var _ = Describe("Tell", func() {
+	It("puts a request's lines in order, with the beliefs in force", func() {
+		told, err := story.Tell(read(), "r1")
+		Expect(err).NotTo(HaveOccurred())
+		var texts []string
+		for _, l := range told {
+			texts = append(texts, l.String())
+		}
+		Expect(texts).To(Equal([]string{
+			"10:00:01.000 edge-1: plan in force plan_revision=4",
+			"10:00:02.400 edge-1: packet sent on to=10.0.0.1 why=placed",
+			"10:00:00.001 side-1: endpoint changed state=serving why=endpoint_report",
+			"10:00:02.500 side-1: request given to endpoint in_use=1 request_id=r1",
+			"10:00:03.000 edge-1: flow reset why=owner_restarted",
+		}))
+	})
+
+	It("takes a flow as well, and says when nothing is known", func() {
+		told, err := story.Tell(read(), "1.2.3.4:6>6.7.8.9:443")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(told).To(HaveLen(2))
+		_, err = story.Tell(read(), "r9")
+		Expect(err).To(MatchError(story.ErrNothing))
+	})
+})
