--- /dev/null
+++ b/internal/soak/fleet/harm.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"syscall"
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/soak/judge"
+	"github.com/clementinewing/clementinewing/internal/soak/plan"
+	"github.com/clementinewing/clementinewing/platform/fake"
+)
+
+// Strike carries out one event of a plan; it returns when the event is over.
+// Changes of the plan in force are the caller's.
+func (f *Fleet) Strike(e plan.Event) (err error) {
+	now := time.Now()
+	harm := judge.Harm{
+		From:  now,
+		Until: now.Add(e.For + restartAfter),
+	}
+	switch e.Kind {
+	case plan.KillBalancer:
+		f.HarmBalancer(harm)
+		f.Signal(f.Net.Balancer(e.Target), syscall.SIGKILL)
+	case plan.StopBalancer:
+		f.Signal(f.Net.Balancer(e.Target), syscall.SIGTERM)
+	case plan.PauseBalancer:
+		f.HarmBalancer(harm)
+		f.Signal(f.Net.Balancer(e.Target), syscall.SIGSTOP)
+		time.Sleep(e.For)
+		f.Signal(f.Net.Balancer(e.Target), syscall.SIGCONT)
+	case plan.Hangup:
+		f.Signal(f.Net.Balancer(e.Target), syscall.SIGHUP)
+	case plan.KillSide:
+		f.Harm(e.Target, harm)
+		f.Signal(f.Net.Side(e.Target), syscall.SIGKILL)
+	case plan.StopSide:
+		f.Signal(f.Net.Side(e.Target), syscall.SIGTERM)
+	case plan.PauseSide:
+		f.Harm(e.Target, harm)
+		f.Signal(f.Net.Side(e.Target), syscall.SIGSTOP)
+		time.Sleep(e.For)
+		f.Signal(f.Net.Side(e.Target), syscall.SIGCONT)
+	case plan.KillAll:
+		f.killAll(harm)
+	case plan.CrashEndpoint, plan.LeaveEndpoint:
+		return f.replace(e)
+	default:
+		f.store(e, harm)
+	}
+	return nil
+}
+
+// replace ends an endpoint and starts its next life.
+func (f *Fleet) replace(e plan.Event) error {
+	f.busy[e.Target].Lock()
+	defer f.busy[e.Target].Unlock()
+	if e.Kind == plan.LeaveEndpoint {
+		f.Leave(e.Target)
+		return f.Endpoint(e.Target)
+	}
+	f.Crash(e.Target)
+	time.Sleep(e.For)
+	return f.Endpoint(e.Target)
+}
+
+func (f *Fleet) killAll(harm judge.Harm) {
+	f.HarmBalancer(harm)
+	for i := range f.sizes.Sides {
+		f.Harm(i, harm)
+		f.Signal(f.Net.Side(i), syscall.SIGKILL)
+	}
+	for i := range f.sizes.Balancers {
+		f.Signal(f.Net.Balancer(i), syscall.SIGKILL)
+	}
+}
+
+// slowStore is how long a slow store takes over each call.
+const slowStore = 250 * time.Millisecond
+
+func (f *Fleet) store(e plan.Event, harm judge.Harm) {
+	modes := map[plan.Kind]fake.Mode{
+		plan.StoreBusy:   fake.Busy,
+		plan.StoreSilent: fake.Silent,
+		plan.StoreReset:  fake.Reset,
+		plan.StoreLost:   fake.Lost,
+	}
+	mode, ok := modes[e.Kind]
+	delay := time.Duration(0)
+	if e.Kind == plan.StoreSlow {
+		ok = true
+		delay = slowStore
+	}
+	if !ok {
+		return
+	}
+	f.HarmStore(harm)
+	f.Store.Set(mode, 1, delay)
+	time.Sleep(e.For)
+	f.Store.Set(fake.Up, 0, 0)
+}
