guide: go on searching by itself until the search is sure

A search made before everybody had been heard was left to the caller's next copy, up to 1.6 s later.

--- a/internal/relay/guide/guide.go
+++ b/internal/relay/guide/guide.go
@@ -44,6 +44,9 @@
 	// lostFor is how long it is remembered that nobody holds a flow. Its caller
 	// gives up within seconds.
 	lostFor = 5 * time.Second
+	// mostAsks bounds how often a flow is asked for again: for about a second, in
+	// which everybody is heard after an outage.
+	mostAsks = 6
 	// mostAsked bounds the packets kept to be asked for again.
 	mostAsked = 2048
 	// startGrace is how long a balancer that knows no endpoint leaves openings
@@ -141,13 +144,17 @@
 	denied *denial
 }
 
-// denial is a packet whose flow every endpoint has denied once.
+// denial is a packet whose flow nobody was found to hold. It is asked for again
+// until an owner is found, everybody has denied it twice, or asking makes no sense
+// any more.
 type denial struct {
 	key    link.Key
 	packet link.Packet
 	raw    []byte
 	due    time.Time
-	asked  bool
+	tries  int
+	// sureAt is when everybody had denied it for sure; zero if somebody had not.
+	sureAt time.Time
 }
 
 type owner struct {
@@ -539,7 +546,7 @@
 			return
 		}
 	}
-	if !e.Sure || !wantsAnswer(p) {
+	if !wantsAnswer(p) {
 		if e.Sure && x.owners[0].host == 0 {
 			x.lostUntil = now.Add(lostFor)
 			x.keep = x.lostUntil
@@ -551,28 +558,48 @@
 		return
 	}
 	x.keep = now.Add(openingKeep)
-	if x.denied != nil && x.denied.asked {
-		delete(g.flows, p.Key)
+	g.notFound(now, x, e)
+}
+
+// notFound counts a search that found no owner. The flow is reset once everybody
+// has denied it for sure at two times, far enough apart.
+func (g *Guide) notFound(now time.Time, x *entry, e Return) {
+	d := x.denied
+	if d == nil {
+		d = &denial{
+			key:    e.Packet.Key,
+			packet: e.Packet,
+			raw:    slices.Clone(e.Stray.Packet),
+		}
+	}
+	switch {
+	case !e.Sure:
+		d.sureAt = time.Time{}
+	case d.sureAt.IsZero():
+		d.sureAt = now
+	case !now.Before(d.sureAt.Add(askAgainAfter)):
+		delete(g.flows, e.Packet.Key)
 		g.add(Reset{
-			Packet: p,
+			Packet: e.Packet,
 			Why:    AllDenied,
 		})
 		return
 	}
 	g.add(Drop{
-		Packet: p,
+		Packet: e.Packet,
 		Why:    OwnerUnknown,
 	})
-	if x.denied != nil || len(g.denials) >= mostAsked {
+	if d.due.After(now) || len(g.denials) >= mostAsked {
 		return
 	}
-	x.denied = &denial{
-		key:    p.Key,
-		packet: p,
-		raw:    slices.Clone(e.Stray.Packet),
-		due:    now.Add(askAgainAfter),
+	if d.tries >= mostAsks {
+		x.denied = nil
+		return
 	}
-	g.denials = append(g.denials, x.denied)
+	x.denied = d
+	d.tries++
+	d.due = now.Add(askAgainAfter)
+	g.denials = append(g.denials, d)
 }
 
 // rejected refuses an opening that no candidate takes, unless another copy of it
@@ -597,13 +624,12 @@
 	return x.owners[0].host == h && !x.owners[0].known && x.owners[1].host == 0
 }
 
-// askAgain looks a second time for flows that every endpoint has denied.
+// askAgain looks again for flows that were not found.
 func (g *Guide) askAgain(now time.Time) {
 	for len(g.denials) > 0 && !now.Before(g.denials[0].due) {
 		d := g.denials[0]
 		g.denials = g.denials[1:]
 		if x, ok := g.flows[d.key]; ok && x.denied == d {
-			d.asked = true
 			g.lookup(now, d.packet, d.raw, search{})
 		}
 	}
