--- /dev/null
+++ b/internal/conf/relay/relay_test.go
@@ -0,0 +1,46 @@
+package relay_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/clementinewing/clementinewing/internal/conf/relay"
+)
+
+func TestRelay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "relay settings")
+}
+
+var _ = Describe("Parse", func() {
+	text, err := os.ReadFile("../../../examples/node.ini")
+	if err != nil {
+		panic(err)
+	}
+
+	It("reads the example for both roles and ignores what it does not know", func() {
+		s, err := relay.Parse("node.ini", string(text)+"\nnew = 1\n", "agent")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Service).To(Equal("rota"))
+		Expect(s.Grace).To(Equal(6 * time.Second))
+		Expect(s.InnerPort).To(Equal(uint16(7720)))
+		Expect(s.Seeds).To(BeEmpty())
+		_, err = relay.Parse("node.ini", string(text), "balancer")
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("names file, line and key of every fault at once", func() {
+		bad := strings.NewReplacer("grace_seconds = 6", "grace_seconds = soon", "zone = nord\n", "", "ready = 127.0.0.1:8167", "ready = here").Replace(string(text))
+		_, err := relay.Parse("node.ini", bad, "balancer")
+		Expect(err).To(MatchError(And(
+			ContainSubstring(`node.ini:10: [process] grace_seconds: bad value "soon"`),
+			ContainSubstring("[process] zone: key is missing"),
+			ContainSubstring(`[listen] ready: bad value "here"`),
+		)))
+	})
+})
--- a/internal/relay/entry/entry.go
+++ b/internal/relay/entry/entry.go
@@ -66,6 +66,8 @@
 	writeAt  time.Time
 	entered  bool
 	lost     bool
+	lostAt   time.Time
+	tidyAt   time.Time
 	fetching bool
 	leaving  bool
 	ready    bool
@@ -104,6 +106,7 @@
 		self:     frame.HostOf(s.Address),
 		process:  rand.Uint64(),
 		started:  now,
+		tidyAt:   now.Add(tidyEvery),
 		client:   newClient(),
 		observe:  func(string, time.Duration) {},
 	}
@@ -186,7 +189,7 @@
 		}
 		now := time.Now()
 		b.mutex.Lock()
-		b.act(now, b.guide.Step(now, guide.Tick{}))
+		b.act(b.guide.Step(now, guide.Tick{}))
 		if now.After(pulseAt) {
 			pulseAt = now.Add(roster.PulseEvery)
 			b.pulseAll(now)
@@ -198,7 +201,14 @@
 		b.settle(now)
 		ask := b.turns.Due(now, b.members.Turn(now))
 		sides := b.changedSides(now)
+		tidy := now.After(b.tidyAt) && b.members.Turn(now) == 0
+		if tidy {
+			b.tidyAt = now.Add(tidyEvery)
+		}
 		b.mutex.Unlock()
+		if tidy {
+			go b.tidy(ctx)
+		}
 		if ask {
 			go b.ask(ctx)
 		}
--- a/internal/relay/entry/packets.go
+++ b/internal/relay/entry/packets.go
@@ -33,7 +33,7 @@
 		} else {
 			b.heardAt = now
 			b.counts.packets++
-			b.act(now, b.guide.Step(now, guide.Packet{
+			b.act(b.guide.Step(now, guide.Packet{
 				Packet: p,
 				Raw:    buffer[:n],
 			}))
@@ -52,7 +52,7 @@
 }
 
 // act carries out what guide decided.
-func (b *Balancer) act(now time.Time, actions []guide.Action) {
+func (b *Balancer) act(actions []guide.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case guide.Send:
@@ -74,7 +74,6 @@
 			b.logEnd("packet dropped", a.Packet, a.Why)
 		}
 	}
-	_ = now
 }
 
 func (b *Balancer) reset(p link.Packet) {
@@ -119,7 +118,7 @@
 func (b *Balancer) take(ctx context.Context, now time.Time, m frame.Message) {
 	switch m := m.(type) {
 	case frame.Owner:
-		b.act(now, b.guide.Step(now, guide.Hint{
+		b.act(b.guide.Step(now, guide.Hint{
 			Owner: m,
 		}))
 	case frame.Stray:
@@ -128,7 +127,7 @@
 			b.counts.malformed++
 			return
 		}
-		b.act(now, b.guide.Step(now, guide.Return{
+		b.act(b.guide.Step(now, guide.Return{
 			Packet: p,
 			Stray:  m,
 		}))
--- a/internal/relay/entry/store.go
+++ b/internal/relay/entry/store.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -157,6 +158,36 @@
 	b.mutex.Unlock()
 }
 
+// tidyEvery is how often the directory is looked over for balancers that are gone.
+// Days pass between replacements at one address, so some minutes do.
+const tidyEvery = 5 * time.Minute
+
+// tidy takes balancers out of the directory that nobody has heard for as long as
+// that; one balancer does it for all.
+func (b *Balancer) tidy(ctx context.Context) {
+	asked := time.Now()
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	list, err := b.store.Balancers(call)
+	b.answered(asked, err)
+	if err != nil {
+		return
+	}
+	b.mutex.Lock()
+	known := append(b.members.Balancers(), b.self)
+	b.mutex.Unlock()
+	gone := slices.DeleteFunc(list, func(h frame.Host) bool { return slices.Contains(known, h) })
+	if len(gone) == 0 {
+		return
+	}
+	asked = time.Now()
+	err = b.store.Remove(call, gone)
+	b.answered(asked, err)
+	if err == nil {
+		b.log.Trouble.Info().Int("balancers", len(gone)).Msg("balancers taken out of the directory")
+	}
+}
+
 // enter puts this balancer into the store's directory, where processes that know
 // no other look for it.
 func (b *Balancer) enter(ctx context.Context) {
@@ -177,6 +208,13 @@
 	b.mutex.Lock()
 	lost := b.lost
 	b.lost = err != nil
+	if err != nil && !lost {
+		b.lostAt = asked
+	}
+	if err == nil && lost && asked.After(b.lostAt.Add(tidyEvery)) {
+		// Others may have taken this balancer out meanwhile.
+		b.entered = false
+	}
 	b.counts.storeCalls++
 	if err != nil {
 		b.counts.storeFailures++
--- a/internal/relay/hold/endpoint.go
+++ b/internal/relay/hold/endpoint.go
@@ -61,7 +61,7 @@
 
 // reported takes what the endpoint says of itself. Reports of an earlier life and
 // reports that were overtaken change nothing.
-func (h *Hold) reported(_ time.Time, r Report) {
+func (h *Hold) reported(r Report) {
 	e := &h.endpoint
 	before := e.state()
 	if e.born != 0 && r.Born < e.born {
--- a/internal/relay/hold/hold.go
+++ b/internal/relay/hold/hold.go
@@ -288,7 +288,7 @@
 	case Elsewhere:
 		h.learn(now, e.Owner)
 	case Reported:
-		h.reported(now, e.Report)
+		h.reported(e.Report)
 	case Left:
 		h.left(e.ID)
 	case Leave:
