--- a/internal/edge/logs/logs.go
+++ b/internal/edge/logs/logs.go
@@ -12,6 +12,8 @@
 )
 
 const (
+	// timeFormat has milliseconds, which put the lines of several processes in
+	// order.
 	timeFormat = "2006-01-02T15:04:05.000Z07:00"
 	// bufferLines is how many lines wait for the stream.
 	bufferLines = 2048
@@ -37,12 +39,10 @@
 // New writes the lines of a process to out.
 func New(out io.Writer, role, name string) *Logs {
 	l := &Logs{}
-	// Milliseconds put the lines of several processes in order.
-	zerolog.TimeFieldFormat = timeFormat
 	l.writer = diode.NewWriter(out, bufferLines, 0, func(missed int) {
 		l.dropped.Add(uint64(missed))
 	})
-	base := zerolog.New(l.writer).With().Timestamp().Str("role", role).Str("name", name).Logger()
+	base := zerolog.New(l.writer).With().Str("role", role).Str("name", name).Logger().Hook(stamp{})
 	l.Trouble = base.Sample(&zerolog.BurstSampler{
 		Burst:  troubleLines,
 		Period: flowPeriod,
@@ -63,3 +63,12 @@
 func (l *Logs) Close() error {
 	return l.writer.Close()
 }
+
+// stamp writes the time into each line. The library's own stamp has its format in
+// a variable of the whole program.
+type stamp struct{}
+
+// Run implements zerolog.Hook.
+func (stamp) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str(zerolog.TimestampFieldName, time.Now().UTC().Format(timeFormat))
+}
--- a/internal/edge/logs/logs_test.go
+++ b/internal/edge/logs/logs_test.go
@@ -55,6 +55,21 @@
 		Expect(l.Close()).To(Succeed())
 	})
 
+	// The format of times was set for the whole program, while other logs wrote.
+	It("may be made while others write", func() {
+		var w sync.WaitGroup
+		for range 8 {
+			w.Go(func() {
+				var b bytes.Buffer
+				l := logs.New(&b, "balancer", "a")
+				l.Trouble.Info().Msg("line")
+				Expect(l.Close()).To(Succeed())
+				Expect(b.String()).To(MatchRegexp(`"time":"[-0-9]+T[0-9:]+\.[0-9]{3}Z"`))
+			})
+		}
+		w.Wait()
+	})
+
 	It("samples routine lines before others", func() {
 		var b bytes.Buffer
 		l := logs.New(&b, "balancer", "a")
