roster: who has left is written down with who is present

Cause: after a loss of all power flows were reset 0.8 to 1.2 s after the first balancer started. VMs whose endpoints had left came back too, stood in no record and each held resets back for another interval of reports; so did reports that came before the record was read. Ruled out: late starts (all agents were heard within 0.3 s), the second asking (0.15 s).

Change: the record names those that left; only an endpoint that reports itself makes one of them a new member, and the record is applied to who was heard before.

--- a/internal/relay/entry/entry.go
+++ b/internal/relay/entry/entry.go
@@ -200,7 +200,7 @@
 		}
 		b.settle(now)
 		ask := b.turns.Due(now, b.members.Turn(now))
-		sides := b.changedSides(now)
+		members, changed := b.changedMembers(now)
 		tidy := now.After(b.tidyAt) && b.members.Turn(now) == 0
 		if tidy {
 			b.tidyAt = now.Add(tidyEvery)
@@ -212,8 +212,8 @@
 		if ask {
 			go b.ask(ctx)
 		}
-		if sides != nil {
-			go b.writeSides(ctx, sides)
+		if changed {
+			go b.writeMembers(ctx, members)
 		}
 	}
 }
--- a/internal/relay/entry/store.go
+++ b/internal/relay/entry/store.go
@@ -17,6 +17,7 @@
 	"github.com/clementinewing/clementinewing/internal/board/retry"
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/relay/plan"
+	"github.com/clementinewing/clementinewing/internal/relay/port"
 	"github.com/clementinewing/clementinewing/internal/relay/roster"
 )
 
@@ -95,22 +96,23 @@
 			b.send(h, hello)
 		}
 	}
-	for _, h := range c.Sides {
-		if b.members.NameSide(asked, h) {
-			b.send(h, hello)
-		}
+	for _, h := range b.members.Written(asked, c.Members.Present, c.Members.Left) {
+		b.send(h, hello)
 	}
-	if len(c.Sides) > 0 {
+	if len(c.Members.Present) > 0 {
 		b.guide.Settle(time.Now())
 	}
-	b.written = roster.Digest(c.Sides)
+	b.written = roster.Digest(c.Members.Present)
 	b.mutex.Unlock()
 	b.log.Trouble.Info().
 		Int("balancers", len(c.Balancers)).
-		Int("side_processes", len(c.Sides)).
+		Int("side_processes", len(c.Members.Present)).
 		Uint64("store_revision", c.Revision).
 		Int64("after_ms", time.Since(b.started).Milliseconds()).
 		Msg("store read")
+	for _, err := range c.Unreadable {
+		b.log.Trouble.Warn().Err(err).Msg("item of the store passed over")
+	}
 	if c.Plan != nil {
 		b.adopt(c.Plan, "store")
 	}
@@ -127,34 +129,35 @@
 // writeEvery is how often at most a change of the side processes is written down.
 const writeEvery = time.Second
 
-// changedSides gives the side processes to write down, if this balancer does that
-// for all and they differ from what was written last.
-func (b *Balancer) changedSides(now time.Time) []frame.Host {
+// changedMembers gives the side processes to write down, if this balancer does
+// that for all and those present differ from what was written last.
+func (b *Balancer) changedMembers(now time.Time) (m port.Members, changed bool) {
 	if now.Before(b.writeAt) || b.members.Turn(now) != 0 || b.leaving || b.held.Current() == nil {
-		return nil
+		return m, false
 	}
 	b.writeAt = now.Add(writeEvery)
-	sides := b.members.Sides()
-	if len(sides) == 0 || roster.Digest(sides) == b.written || b.members.Isolated(now) || !b.members.Complete(now) {
-		return nil
+	m.Present = b.members.Sides()
+	if len(m.Present) == 0 || roster.Digest(m.Present) == b.written || b.members.Isolated(now) || !b.members.Complete(now) {
+		return m, false
 	}
-	return sides
+	m.Left = b.members.Left()
+	return m, true
 }
 
-// writeSides writes down who is there, for balancers that start after everybody
+// writeMembers writes down who is there, for balancers that start after everybody
 // has lost power.
-func (b *Balancer) writeSides(ctx context.Context, sides []frame.Host) {
+func (b *Balancer) writeMembers(ctx context.Context, m port.Members) {
 	asked := time.Now()
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	err := b.store.WriteSides(call, sides)
+	err := b.store.WriteMembers(call, m)
 	b.answered(asked, err)
 	if err != nil {
 		return
 	}
-	b.log.Trouble.Info().Int("side_processes", len(sides)).Msg("side processes written down")
+	b.log.Trouble.Info().Int("side_processes", len(m.Present)).Int("left", len(m.Left)).Msg("side processes written down")
 	b.mutex.Lock()
-	b.written = roster.Digest(sides)
+	b.written = roster.Digest(m.Present)
 	b.mutex.Unlock()
 }
 
--- a/internal/relay/port/port.go
+++ b/internal/relay/port/port.go
@@ -52,12 +52,22 @@
 	// Plan is nil if the store holds none yet.
 	Plan      *plan.Plan
 	Balancers []frame.Host
-	// Sides are the side processes that were last written down.
-	Sides []frame.Host
+	// Members are the side processes that were last written down.
+	Members Members
+	// Unreadable tells which items were passed over, and why.
+	Unreadable []error
 	// Revision is the store's own, which rises with each change of any item.
 	Revision uint64
 }
 
+// Members are the side processes of the fleet.
+type Members struct {
+	// Present have endpoints that may hold flows.
+	Present []frame.Host
+	// Left had endpoints that ended lately.
+	Left []frame.Host
+}
+
 // Store is the platform's store. Each method makes one call of the store for each
 // page it reads and tries nothing twice.
 type Store interface {
@@ -71,8 +81,8 @@
 	Balancers(ctx context.Context) ([]frame.Host, error)
 	// Enter puts a balancer into the directory.
 	Enter(ctx context.Context, h frame.Host, name string) error
-	// WriteSides writes down the side processes that are there.
-	WriteSides(ctx context.Context, sides []frame.Host) error
+	// WriteMembers writes down the side processes.
+	WriteMembers(ctx context.Context, m Members) error
 	// Remove takes balancers out of the directory.
 	Remove(ctx context.Context, hosts []frame.Host) error
 }
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -56,6 +56,8 @@
 	Sent int
 	// Doubts counts openings that it left unanswered since it was last heard.
 	Doubts int
+	// joinedAt is when it was first heard, or first heard of its service.
+	joinedAt time.Time
 }
 
 // Balancer is another balancer.
@@ -74,7 +76,12 @@
 	services  map[pact.ServiceID][]*Side
 	// named are side processes that another balancer knows and this one has not
 	// heard, with the time until which that counts.
-	named    map[frame.Host]time.Time
+	named map[frame.Host]time.Time
+	// written are side processes in the record of the members that was read at
+	// start. Whether their endpoints were present tells the value: one that had
+	// left and starts again without an endpoint is no news.
+	written map[frame.Host]bool
+	// gainedAt is when the last member joined that was not expected.
 	gainedAt time.Time
 }
 
@@ -86,6 +93,7 @@
 		balancers: map[frame.Host]*Balancer{},
 		services:  map[pact.ServiceID][]*Side{},
 		named:     map[frame.Host]time.Time{},
+		written:   map[frame.Host]bool{},
 	}
 }
 
@@ -100,9 +108,13 @@
 		return false
 	}
 	if !ok {
-		s = &Side{}
+		s = &Side{
+			joinedAt: now,
+		}
 		r.sides[l.Host] = s
-		if _, expected := r.named[l.Host]; !expected {
+		_, named := r.named[l.Host]
+		_, written := r.written[l.Host]
+		if !named && !written {
 			r.gainedAt = now
 		}
 		delete(r.named, l.Host)
@@ -111,6 +123,11 @@
 	move := !ok || s.Service != l.Service
 	if move && ok {
 		r.detach(s)
+	}
+	if present, written := r.written[l.Host]; move && ok || written && !present && l.Born != 0 && l.State == node.Serving {
+		// Another endpoint runs there by now.
+		delete(r.written, l.Host)
+		s.joinedAt = now
 		r.gainedAt = now
 	}
 	s.Load = l
@@ -215,6 +232,40 @@
 	return true
 }
 
+// Written takes the record of the members that was read at start: those that were
+// present, which are waited for, and those whose endpoints had left. It gives the
+// ones that have not been heard.
+func (r *Roster) Written(now time.Time, present, left []frame.Host) (missing []frame.Host) {
+	for _, h := range left {
+		r.written[h] = false
+	}
+	for _, h := range present {
+		r.written[h] = true
+		if r.NameSide(now, h) {
+			missing = append(missing, h)
+		}
+	}
+	// Some may have been heard before the record was read.
+	r.gainedAt = time.Time{}
+	for h, s := range r.sides {
+		if _, written := r.written[h]; !written && s.joinedAt.After(r.gainedAt) {
+			r.gainedAt = s.joinedAt
+		}
+	}
+	return missing
+}
+
+// Left gives the hosts of the side processes whose endpoints ended lately.
+func (r *Roster) Left() (list []frame.Host) {
+	for h, s := range r.sides {
+		if s.State == node.Gone {
+			list = append(list, h)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // Isolated tells whether this balancer hears so few side processes that their
 // silence may be its own.
 func (r *Roster) Isolated(now time.Time) bool {
--- a/internal/relay/roster/roster_test.go
+++ b/internal/relay/roster/roster_test.go
@@ -1,6 +1,8 @@
 package roster_test
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -13,7 +15,7 @@
 )
 
 // Hosts are small numbers; the balancer is 90. Events: load, name, meet, named,
-// expire. After each event "ask" lines look at the roster: takes, owns, turn,
+// written, expire. After each event "ask" lines look at the roster: takes, owns, turn,
 // known, complete, isolated.
 var _ = Describe("Roster", func() {
 	cases, err := script.Read("testdata/*.txt")
@@ -46,6 +48,8 @@
 		return yes(r.Name(l.At, host), "added")
 	case "named":
 		return yes(r.NameSide(l.At, host), "not heard")
+	case "written":
+		return numbers(r.Written(l.At, hosts(l.Ints("present")), hosts(l.Ints("left"))))
 	case "expire":
 		sides, balancers := r.Expire(l.At)
 		return yes(len(sides)+len(balancers) > 0, "forgotten")
@@ -71,6 +75,21 @@
 	return ""
 }
 
+func hosts(list []int) (out []frame.Host) {
+	for _, n := range list {
+		out = append(out, frame.Host(n))
+	}
+	return out
+}
+
+func numbers(list []frame.Host) string {
+	texts := make([]string, len(list))
+	for i, h := range list {
+		texts[i] = strconv.Itoa(int(h))
+	}
+	return strings.Join(texts, ",")
+}
+
 func load(l *script.Line) frame.Load {
 	l2 := frame.Load{
 		Host:     frame.Host(l.Int("host", 0)),
@@ -80,6 +99,7 @@
 		Born:     uint64(l.Int("born", 5)),
 		Sequence: uint32(l.Int("number", 1)),
 		Refuses:  l.Has("refuses"),
+		Proven:   l.Has("proven"),
 		Every:    uint16(l.Int("every", 250)),
 	}
 	switch {
