hold: free the slots of openings whose callers send no request sooner; copies of an opening go to where the first one waits

Counted in the agents: a quarter of the openings admitted brought no request, 40 to 60 % of those that had waited long. Part of them were copies: while balancers join, the routers send the copies of one opening through several of them, each placed its own, and only one was taken by the caller.

Ruled out: idle endpoints (none while others had openings waiting), slow starts.

Change: an accepted opening counts for 25 ms, looked at each tick; a process where an opening waits tells the home of the flow, a balancer that sees a copy first asks there. A bare acknowledgment no longer hides the request that it overtook.

--- a/internal/relay/guide/open.go
+++ b/internal/relay/guide/open.go
@@ -72,6 +72,12 @@
 		g.unplaced(now, service, p)
 		return
 	}
+	home := place.Home(now, hash, g.members.Service(service))
+	if p.Acknowledgment != 0 && home != 0 {
+		// A copy of an opening whose first one went through another balancer: the
+		// home may know where that one waits.
+		list = append([]frame.Host{home}, withoutHost(list, home, true)...)
+	}
 	delete(g.flows, p.Key)
 	x := g.remember(now, p.Key)
 	if x == nil {
@@ -88,7 +94,7 @@
 		packet:    p.Packet,
 		raw:       slices.Clone(p.Raw),
 		list:      list,
-		home:      place.Home(now, hash, g.members.Service(service)),
+		home:      home,
 		share:     g.members.FlowShare(now, service),
 		aim:       uint16(min(route.Aim.Milliseconds(), math.MaxUint16)),
 		urgency:   route.Urgency,
--- a/internal/relay/hold/arrive.go
+++ b/internal/relay/hold/arrive.go
@@ -56,6 +56,9 @@
 		h.tellWaiting(w)
 		return
 	}
+	if h.toOther(p, c) {
+		return
+	}
 	if why, passes := h.passesOn(now, c); passes {
 		h.next(p, c, why)
 		return
@@ -71,6 +74,32 @@
 	h.admit(now, p, c, false)
 }
 
+// toOther hands a copy of an opening to the process where an earlier copy waits or
+// was answered: the copies of one opening come through several balancers while
+// those join or leave.
+func (h *Hold) toOther(p link.Packet, c *frame.Carry) bool {
+	known, ok := h.elsewhere[p.Key]
+	if !ok || copyAge(p) == 0 || c.Home != h.self || c.Flags&frame.Chosen != 0 {
+		return false
+	}
+	next := int(c.Position) + 1
+	asked := c.List[:next]
+	if slices.Contains(asked, known.owner.Host) || len(c.List) >= frame.MaxList {
+		return false
+	}
+	rest := slices.DeleteFunc(slices.Clone(c.List[next:]), func(o frame.Host) bool { return o == known.owner.Host })
+	c.List = slices.Concat(asked, []frame.Host{known.owner.Host}, rest)
+	c.Position++
+	h.add(HandOn{
+		To:    known.owner.Host,
+		Carry: c,
+		Key:   p.Key,
+		Kind:  p.Kind,
+		Why:   EarlierCopy,
+	})
+	return true
+}
+
 // admit gives an opening to the endpoint.
 func (h *Hold) admit(now time.Time, p link.Packet, c *frame.Carry, queued bool) {
 	if f, ok := h.flows[p.Key]; ok {
--- a/internal/relay/hold/flow.go
+++ b/internal/relay/hold/flow.go
@@ -98,12 +98,13 @@
 // before: a repeated packet is no new request.
 func (f *flow) advances(p link.Packet) bool {
 	end := p.Sequence + p.Length()
-	if f.sentKnown && int32(end-f.sent) <= 0 {
+	if p.Payload == 0 || f.sentKnown && int32(end-f.sent) <= 0 {
+		// A bare acknowledgment may overtake the bytes that it follows.
 		return false
 	}
 	f.sent = end
 	f.sentKnown = true
-	return p.Payload > 0
+	return true
 }
 
 // end notes that an end of the flow has closed; a flow with both closed is kept a
@@ -135,7 +136,7 @@
 	f.keep = now.Add(flowKeep)
 	switch {
 	case p.Flags&flagSyn != 0:
-		h.accepted(now, f, p)
+		h.openingAnswered(now, f, p)
 		return
 	case !f.known:
 		f.known = true
@@ -175,8 +176,8 @@
 	return f
 }
 
-// accepted takes the endpoint's answer to an opening and says whose the flow is.
-func (h *Hold) accepted(now time.Time, f *flow, p link.Packet) {
+// openingAnswered takes the endpoint's answer to an opening and says whose the flow is.
+func (h *Hold) openingAnswered(now time.Time, f *flow, p link.Packet) {
 	if f.known && f.initial == p.Sequence {
 		h.tell(f, p.Key)
 		return
@@ -196,6 +197,10 @@
 	if f.phase == phaseOpening {
 		h.use(f, phaseAccepted)
 		f.since = now
+		h.accepted = append(h.accepted, acceptance{
+			key: p.Key,
+			at:  now,
+		})
 	}
 	h.tell(f, p.Key)
 }
--- a/internal/relay/hold/hold.go
+++ b/internal/relay/hold/hold.go
@@ -21,9 +21,10 @@
 	// packet that it was asked about, until the next candidate is asked. The
 	// endpoints answer within a few milliseconds, also when they are slow.
 	muteAfter = 40 * time.Millisecond
-	// requestWithin is how long an accepted flow counts as a request to come: some
-	// round trips to a caller. One that comes later counts from then on.
-	requestWithin = 60 * time.Millisecond
+	// requestWithin is how long an accepted flow counts as a request to come: three
+	// round trips to a caller in another failure domain. One that comes later counts
+	// from then on.
+	requestWithin = 25 * time.Millisecond
 	// requestMost is how long a request counts as in hand without an answer:
 	// longer than any deadline of the services seen.
 	requestMost = 12 * time.Second
@@ -231,7 +232,10 @@
 	nextMark uint32
 	// timed are the marks that have a deadline, oldest first.
 	timed []uint32
-	inUse int
+	// accepted are the flows whose openings were answered, oldest first, until a
+	// request is no longer expected to come.
+	accepted []acceptance
+	inUse    int
 	// openFlows counts the flows that are open.
 	openFlows int
 	average   float64
@@ -349,6 +353,7 @@
 
 func (h *Hold) tick(now time.Time) {
 	h.overdue(now)
+	h.expireAccepted(now)
 	if !h.tickAt.IsZero() {
 		part := min(1, float64(now.Sub(h.tickAt))/float64(averageOver))
 		h.average += (float64(h.inUse) - h.average) * part
@@ -361,8 +366,24 @@
 	h.sweep(now)
 }
 
-// sweepEvery is how often flows are looked over for what has ended; it bounds
-// how late an accepted flow without a request stops counting.
+// acceptance is a flow whose opening was answered.
+type acceptance struct {
+	key link.Key
+	at  time.Time
+}
+
+// expireAccepted frees the slots of openings whose callers send no request.
+func (h *Hold) expireAccepted(now time.Time) {
+	for len(h.accepted) > 0 && now.After(h.accepted[0].at.Add(requestWithin)) {
+		a := h.accepted[0]
+		h.accepted = h.accepted[1:]
+		if f, ok := h.flows[a.key]; ok && f.phase == phaseAccepted && f.since.Equal(a.at) {
+			h.use(f, phaseIdle)
+		}
+	}
+}
+
+// sweepEvery is how often flows are looked over for what has ended.
 const sweepEvery = 60 * time.Millisecond
 
 func (h *Hold) sweep(now time.Time) {
@@ -375,8 +396,6 @@
 		case now.After(f.keep):
 			h.use(f, phaseIdle)
 			delete(h.flows, k)
-		case f.phase == phaseAccepted && now.After(f.since.Add(requestWithin)):
-			h.use(f, phaseIdle)
 		case f.phase == phaseBusy && now.After(f.since.Add(requestMost)):
 			h.use(f, phaseIdle)
 		}
--- a/internal/relay/hold/reason.go
+++ b/internal/relay/hold/reason.go
@@ -21,6 +21,8 @@
 	FlowsFull
 	// QueueFull: as many openings wait for a slot as can be served in time.
 	QueueFull
+	// EarlierCopy: an earlier copy of the opening is with another candidate.
+	EarlierCopy
 	// WaitedLong: the opening waited for a slot until its caller gave up.
 	WaitedLong
 	// UnknownFlow: the endpoint does not hold the flow.
@@ -58,6 +60,7 @@
 	SlotsFull:         "slots_full",
 	FlowsFull:         "flows_full",
 	QueueFull:         "queue_full",
+	EarlierCopy:       "earlier_copy",
 	WaitedLong:        "waited_long",
 	UnknownFlow:       "unknown_flow",
 	OtherAnswer:       "other_answer",
--- a/internal/relay/hold/wait.go
+++ b/internal/relay/hold/wait.go
@@ -91,15 +91,22 @@
 }
 
 // tellWaiting tells the balancer where an opening waits, so that it does not give
-// it to others.
+// it to others, and the process where other balancers look for its owner.
 func (h *Hold) tellWaiting(w *waiter) {
+	o := frame.Owner{
+		Key:  w.packet.Key,
+		Host: h.self,
+	}
 	h.add(Tell{
-		To: w.carry.Balancer,
-		Owner: frame.Owner{
-			Key:  w.packet.Key,
-			Host: h.self,
-		},
+		To:    w.carry.Balancer,
+		Owner: o,
 	})
+	if home := w.carry.Home; home != 0 && home != h.self {
+		h.add(Tell{
+			To:    home,
+			Owner: o,
+		})
+	}
 }
 
 // serveWaiting gives slots that are free to those that wait.
