--- a/internal/relay/hold/wait.go
+++ b/internal/relay/hold/wait.go
@@ -144,7 +144,7 @@
 
 // nextWaiting picks who gets the next slot: of those that can meet their
 // objective the most urgent, and of these the one with the least time left; if
-// none can, the one that has waited longest.
+// none can, the one that came last: its caller is the least likely to have given up.
 func (h *Hold) nextWaiting(now time.Time) (best *waiter) {
 	for _, w := range h.waiting {
 		if best == nil || w.before(best, now) {
@@ -164,7 +164,7 @@
 	case inTime && !w.until.Equal(o.until):
 		return w.until.Before(o.until)
 	case !w.since.Equal(o.since):
-		return w.since.Before(o.since)
+		return w.since.After(o.since)
 	default:
 		return w.packet.Sequence < o.packet.Sequence
 	}
