entry: a store without a plan is not lost

Cause: the answer that there is no plan was counted as a failed call, and each balancer of a new deployment logged that the store was lost and found it again. The test waited 30 s for the line before.

--- a/internal/relay/entry/store.go
+++ b/internal/relay/entry/store.go
@@ -261,7 +261,12 @@
 	b.mutex.Unlock()
 	if fresh {
 		p, err := b.store.Plan(call)
-		if err != nil {
+		switch {
+		case errors.Is(err, port.ErrAbsent):
+			// The store answers; operators have written nothing yet.
+			b.log.Routine.Info().Uint64("store_revision", revision).Msg("store holds no plan yet")
+			return nil
+		case err != nil:
 			return err
 		}
 		b.adopt(p, "store")
