soak: a loopback proxy before the store, and answers that come late

Open connections to the store go silent, are reset, are cut one way or slow; calls are done after their connections were closed. Drawn apart from the other faults, so that each seed keeps the events that it had.

--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/clementinewing/clementinewing/internal/soak/judge"
+	"github.com/clementinewing/clementinewing/internal/soak/proxy"
 	"github.com/clementinewing/clementinewing/platform/fake"
 )
 
@@ -49,6 +50,8 @@
 	binary string
 	folder string
 	server *http.Server
+	// proxy is how processes reach the store.
+	proxy  *proxy.Proxy
 	mutex  sync.Mutex
 	record judge.Record
 	procs  map[netip.Addr]*exec.Cmd
@@ -93,10 +96,13 @@
 		closing: make(chan struct{}),
 	}
 	f.Store.Put("op/config", config)
-	listener, err := net.Listen("tcp4", f.Net.Store().String())
+	listener, err := net.Listen("tcp4", netip.AddrPortFrom(f.Net.Store().Addr(), 0).String())
 	if err != nil {
 		return nil, err
 	}
+	if f.proxy, err = proxy.Listen(f.Net.Store().String(), listener.Addr().String()); err != nil {
+		return nil, errors.Join(err, listener.Close())
+	}
 	f.server = &http.Server{
 		Handler:           f.Store,
 		ReadHeaderTimeout: time.Minute,
@@ -321,5 +327,5 @@
 	for _, l := range f.logs {
 		err = errors.Join(err, l.Close())
 	}
-	return errors.Join(err, f.server.Close())
+	return errors.Join(err, f.proxy.Close(), f.server.Close())
 }
--- a/internal/soak/fleet/harm.go
+++ b/internal/soak/fleet/harm.go
@@ -6,6 +6,7 @@
 
 	"github.com/clementinewing/clementinewing/internal/soak/judge"
 	"github.com/clementinewing/clementinewing/internal/soak/plan"
+	"github.com/clementinewing/clementinewing/internal/soak/proxy"
 	"github.com/clementinewing/clementinewing/platform/fake"
 )
 
@@ -44,6 +45,8 @@
 		f.killAll(harm)
 	case plan.CrashEndpoint, plan.LeaveEndpoint:
 		return f.replace(e)
+	case plan.LinkSilent, plan.LinkReset, plan.LinkOneWay, plan.LinkSlow:
+		f.link(e, harm)
 	default:
 		f.store(e, harm)
 	}
@@ -74,6 +77,25 @@
 	}
 }
 
+// link harms the connections to the store.
+func (f *Fleet) link(e plan.Event, harm judge.Harm) {
+	f.HarmStore(harm)
+	switch e.Kind {
+	case plan.LinkSilent:
+		f.proxy.Silence()
+	case plan.LinkReset:
+		f.proxy.Reset()
+	case plan.LinkOneWay:
+		f.proxy.Set(proxy.OneWay)
+		time.Sleep(e.For)
+		f.proxy.Set(proxy.Pass)
+	case plan.LinkSlow:
+		f.proxy.Set(proxy.Slow)
+		time.Sleep(e.For)
+		f.proxy.Set(proxy.Pass)
+	}
+}
+
 // slowStore is how long a slow store takes over each call.
 const slowStore = 250 * time.Millisecond
 
@@ -83,6 +105,7 @@
 		plan.StoreSilent: fake.Silent,
 		plan.StoreReset:  fake.Reset,
 		plan.StoreLost:   fake.Lost,
+		plan.StoreLate:   fake.Late,
 	}
 	mode, ok := modes[e.Kind]
 	delay := time.Duration(0)
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -3,6 +3,7 @@
 package plan
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -42,6 +43,22 @@
 	DropRoute
 	// Hangup sends SIGHUP to a balancer; planned work.
 	Hangup
+	// The kinds above are drawn together, those below apart from them, so that a
+	// seed keeps its events when kinds are added.
+	processKinds
+)
+
+// Kinds of faults of the links to the store.
+const (
+	// StoreLate lets the store answer nothing and do what it is asked later.
+	StoreLate = processKinds + iota
+	// LinkSilent lets open connections to the store go silent for good.
+	LinkSilent
+	// LinkReset resets them.
+	LinkReset
+	// LinkOneWay swallows the store's answers for For, LinkSlow delays them.
+	LinkOneWay
+	LinkSlow
 
 	kinds
 )
@@ -50,7 +67,8 @@
 	"kill_balancer", "kill_side", "stop_balancer", "stop_side", "pause_balancer",
 	"pause_side", "kill_all", "crash_endpoint", "leave_endpoint", "store_busy",
 	"store_silent", "store_reset", "store_lost", "store_slow", "add_route",
-	"drop_route", "hangup",
+	"drop_route", "hangup", "store_late", "link_silent", "link_reset", "link_one_way",
+	"link_slow",
 }
 
 // String gives the kind as reports print it.
@@ -79,13 +97,15 @@
 	forMost = 3 * time.Second
 	// series is the chance that an event comes right after another.
 	series = 0.3
+	// linkGapMost bounds the time between two faults of the links.
+	linkGapMost = 8 * time.Second
 )
 
 // Draw makes the plan of a seed for a time span.
 func Draw(seed uint64, span time.Duration, balancers, sides int) (events []Event) {
 	r := rand.New(rand.NewPCG(seed, 0))
 	for at := calm; at < span-2*calm-forMost; {
-		k := Kind(r.IntN(int(kinds)))
+		k := Kind(r.IntN(int(processKinds)))
 		target := r.IntN(sides)
 		if slices.Contains([]Kind{KillBalancer, StopBalancer, PauseBalancer, Hangup}, k) {
 			target = r.IntN(balancers)
@@ -100,5 +120,24 @@
 			at += time.Duration(r.Int64N(int64(gapMost)))
 		}
 	}
+	events = append(events, drawLinks(seed, span)...)
+	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return events
 }
+
+// drawLinks draws the faults of the links to the store.
+func drawLinks(seed uint64, span time.Duration) (events []Event) {
+	r := rand.New(rand.NewPCG(seed, 1))
+	at := calm
+	for {
+		at += time.Duration(r.Int64N(int64(linkGapMost)))
+		if at >= span-2*calm-forMost {
+			return events
+		}
+		events = append(events, Event{
+			At:   at,
+			Kind: processKinds + Kind(r.IntN(int(kinds-processKinds))),
+			For:  time.Duration(r.Int64N(int64(forMost))),
+		})
+	}
+}
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -38,7 +38,7 @@
 				last = e.At
 			}
 		}
-		Expect(seen).To(HaveLen(int(plan.Hangup) + 1))
+		Expect(seen).To(HaveLen(int(plan.LinkSlow) + 1))
 		Expect(overlaps).To(BeNumerically(">", 0))
 	})
 })
