hold: a late copy of an opening reaches no endpoint whose flow is open or that leaves

The side process gave them to its endpoint, which had begun to leave 362 ms before and took them for new flows. The lines of the agent and the balancers show it (opening accepted, after_us 2515593). Ruled out: the endpoint's own delay; the packets came at 10.671 s and were answered at 10.673 s.

Change: the copy is given only while the caller has not acknowledged the answer, may still wait for it, and the endpoint stays.

--- a/internal/relay/hold/arrive.go
+++ b/internal/relay/hold/arrive.go
@@ -47,7 +47,9 @@
 	f, ok := h.flows[p.Key]
 	if ok && f.sequence == p.Sequence && f.known {
 		f.balancer = c.Balancer
-		h.give(now, p, c, askOwned)
+		if h.mayRepeat(now, f) {
+			h.give(now, p, c, askOwned)
+		}
 		h.tell(f, p.Key)
 		return
 	}
@@ -74,6 +76,14 @@
 	h.admit(now, p, c, false)
 }
 
+// mayRepeat tells whether a copy of an opening that the endpoint has answered may
+// be given to it. To an endpoint whose flow is open it would be a new flow, and so
+// it would to one that leaves; a caller that has given up needs no answer.
+func (h *Hold) mayRepeat(now time.Time, f *flow) bool {
+	leaves := h.endpoint.state() == node.Draining || h.endpoint.state() == node.Gone
+	return !f.confirmed && !leaves && now.Before(f.since.Add(attemptFor))
+}
+
 // toOther hands a copy of an opening to the process where an earlier copy waits or
 // was answered: the copies of one opening come through several balancers while
 // those join or leave.
--- a/internal/relay/hold/flow.go
+++ b/internal/relay/hold/flow.go
@@ -34,6 +34,8 @@
 	highest uint32
 	known   bool
 	queued  bool
+	// confirmed tells that the caller has acknowledged the endpoint's answer.
+	confirmed bool
 	// sent is the end of what the caller has sent, from where sentKnown.
 	sent      uint32
 	sentKnown bool
@@ -78,6 +80,7 @@
 // fromCaller follows a packet that goes to the endpoint.
 func (h *Hold) fromCaller(now time.Time, f *flow, p link.Packet, raw []byte) {
 	f.keep = now.Add(flowKeep)
+	f.confirmed = f.confirmed || p.HasAck()
 	if f.advances(p) && f.phase != phaseBusy && f.fins == 0 {
 		h.add(Began{
 			Key: p.Key,
