roster, agent: check lists of balancers in turn, pulse less in large fleets

Now one balancer in turn is asked to check with each round of reports.

A list that agreed was not sent again, so that the short list of a balancer that had just started could forget others after 20 s; what counts is since when one is missing.

--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/relay/hold"
 	"github.com/clementinewing/clementinewing/internal/relay/port"
+	"github.com/clementinewing/clementinewing/internal/relay/roster"
 )
 
 const (
@@ -54,7 +55,7 @@
 
 	mutex     sync.Mutex
 	hold      *hold.Hold
-	balancers map[frame.Host]*contact
+	balancers *roster.Contacts
 	sequence  uint32
 	answered  bool
 	lost      bool
@@ -64,14 +65,6 @@
 	stops     atomic.Bool
 }
 
-// contact is a balancer that is told the load.
-type contact struct {
-	// namedAt is when a balancer last named it or it spoke itself.
-	namedAt time.Time
-	// confirmed tells that the last list of members had it.
-	confirmed bool
-}
-
 // Option sets one property of an Agent.
 type Option func(*Agent)
 
@@ -100,7 +93,7 @@
 		zone:      xxhash.Sum64String(s.Zone),
 		process:   rand.Uint64(),
 		started:   time.Now(),
-		balancers: map[frame.Host]*contact{},
+		balancers: roster.NewContacts(),
 		observe:   func(string, time.Duration) {},
 	}
 	for _, o := range options {
--- a/internal/relay/agent/fleet.go
+++ b/internal/relay/agent/fleet.go
@@ -23,9 +23,6 @@
 	storeTimeout    = 800 * time.Millisecond
 	storeLeast      = 200 * time.Millisecond
 	storeMost       = 1600 * time.Millisecond
-	// forgetContact is how long a balancer that nobody names is still told the
-	// load: longer than balancers remember each other.
-	forgetContact = 20 * time.Second
 )
 
 // meet finds balancers: those of the settings, then those of the store.
@@ -39,11 +36,10 @@
 		a.mutex.Lock()
 		done := a.answered
 		if !done {
-			now := time.Now()
 			for _, s := range a.settings.Seeds {
-				a.name(now, frame.HostOf(s.Addr()))
+				a.balancers.Name(frame.HostOf(s.Addr()))
 			}
-			a.report(now, true)
+			a.report(time.Now(), true)
 		}
 		a.mutex.Unlock()
 		if done {
@@ -81,31 +77,18 @@
 		a.log.Trouble.Info().Msg("store regained")
 	}
 	a.lost = false
-	now := time.Now()
 	for _, h := range list {
-		a.name(now, h)
+		a.balancers.Name(h)
 	}
 }
 
-// name adds a balancer and tells whether it is new here.
-func (a *Agent) name(now time.Time, h frame.Host) bool {
-	c, ok := a.balancers[h]
-	if !ok {
-		c = &contact{}
-		a.balancers[h] = c
-	}
-	c.namedAt = now
-	c.confirmed = true
-	return !ok
-}
-
 // greeted answers a balancer that asks for a report.
 func (a *Agent) greeted(now time.Time, p frame.Pulse) {
-	if a.name(now, p.Host) {
+	if a.balancers.Name(p.Host) {
 		a.log.Trouble.Info().Str("balancer", p.Host.String()).Msg("balancer met")
 	}
 	a.sequence++
-	a.send(p.Host, a.load(now, true))
+	a.send(p.Host, a.load(now, !a.answered))
 }
 
 // roll takes the balancers that one of them knows.
@@ -117,20 +100,9 @@
 			Int64("after_ms", now.Sub(a.started).Milliseconds()).
 			Msg("a balancer answered")
 	}
-	for _, c := range a.balancers {
-		c.confirmed = false
-	}
-	var added []frame.Host
-	for _, h := range r.Balancers {
-		if a.name(now, h) {
-			added = append(added, h)
-		}
-	}
-	for h, c := range a.balancers {
-		if now.After(c.namedAt.Add(forgetContact)) {
-			delete(a.balancers, h)
-			a.log.Trouble.Info().Str("balancer", h.String()).Msg("balancer forgotten")
-		}
+	added, forgotten := a.balancers.Named(now, r.Balancers)
+	for _, h := range forgotten {
+		a.log.Trouble.Info().Str("balancer", h.String()).Msg("balancer forgotten")
 	}
 	if r.State != 0 {
 		a.act(a.hold.Step(now, hold.Told{
@@ -151,14 +123,7 @@
 	l.Zone = a.zone
 	l.First = first
 	l.Sequence = a.sequence
-	var confirmed []frame.Host
-	for h, c := range a.balancers {
-		if c.confirmed {
-			confirmed = append(confirmed, h)
-		}
-	}
-	l.Balancers = roster.Digest(confirmed)
-	l.Every = uint16(roster.LoadEvery(len(a.balancers)).Milliseconds())
+	l.Every = uint16(roster.LoadEvery(len(a.balancers.Hosts())).Milliseconds())
 	return l
 }
 
@@ -166,7 +131,12 @@
 func (a *Agent) report(now time.Time, first bool) {
 	a.sequence++
 	l := a.load(now, first)
-	for h := range a.balancers {
+	checker := a.balancers.Checker()
+	for _, h := range a.balancers.Hosts() {
+		l.Balancers = frame.NoCheck
+		if h == checker {
+			l.Balancers = a.balancers.Digest()
+		}
 		a.send(h, l)
 	}
 }
@@ -190,7 +160,7 @@
 		a.mutex.Lock()
 		a.act(a.hold.Step(now, hold.Tick{}))
 		if now.After(reportAt) {
-			reportAt = now.Add(roster.LoadEvery(len(a.balancers)))
+			reportAt = now.Add(roster.LoadEvery(len(a.balancers.Hosts())))
 			a.report(now, false)
 		}
 		a.mutex.Unlock()
--- a/internal/relay/agent/state.go
+++ b/internal/relay/agent/state.go
@@ -74,7 +74,7 @@
 	s.Levels = []meter.Level{
 		{Name: "in_use", Value: float64(a.hold.InUse())},
 		{Name: "flows", Value: float64(a.hold.Flows())},
-		{Name: "balancers", Value: float64(len(a.balancers))},
+		{Name: "balancers", Value: float64(len(a.balancers.Hosts()))},
 	}
 	return s
 }
@@ -103,7 +103,7 @@
 		InUse:   a.hold.InUse(),
 		Flows:   a.hold.Flows(),
 	}
-	for h := range a.balancers {
+	for _, h := range a.balancers.Hosts() {
 		s.Balancers = append(s.Balancers, h.String())
 	}
 	return s
--- a/internal/relay/entry/entry.go
+++ b/internal/relay/entry/entry.go
@@ -191,7 +191,7 @@
 		b.mutex.Lock()
 		b.act(b.guide.Step(now, guide.Tick{}))
 		if now.After(pulseAt) {
-			pulseAt = now.Add(roster.PulseEvery)
+			pulseAt = now.Add(roster.PulseEvery(len(b.members.Balancers())))
 			b.pulseAll(now)
 		}
 		if now.After(expireAt) {
--- a/internal/relay/entry/packets.go
+++ b/internal/relay/entry/packets.go
@@ -162,7 +162,7 @@
 			Uint64("born", l.Born).
 			Msg("endpoint changed")
 	}
-	if l.First || l.Balancers != roster.Digest(known) {
+	if l.First || l.Balancers != frame.NoCheck && l.Balancers != roster.Digest(known) {
 		b.send(l.Host, answer)
 	}
 }
--- a/internal/relay/frame/frame.go
+++ b/internal/relay/frame/frame.go
@@ -169,10 +169,14 @@
 	Cold uint16
 	// Every is the interval of the sender's reports in milliseconds.
 	Every uint16
-	// Balancers is the digest of the balancers that the sender knows.
+	// Balancers is the digest of the balancers that the sender knows, if the receiver
+	// is to check it, else NoCheck.
 	Balancers uint64
 }
 
+// NoCheck is the Balancers of a Load whose receiver is not asked to check them.
+const NoCheck = 0
+
 // Pulse is what a balancer says of itself to balancers and side processes.
 type Pulse struct {
 	Host    Host
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -23,8 +23,12 @@
 	// loadMost, of which three still come before a process counts as absent.
 	loadBalancers = 8
 	loadMost      = 750 * time.Millisecond
-	// PulseEvery is the interval of a balancer's pulses.
-	PulseEvery = 400 * time.Millisecond
+	// pulseLeast is the interval of a balancer's pulses to a few others. For more
+	// than pulseBalancers it grows, so that the pulses of a process stay as many, up
+	// to pulseMost. What is urgent is told at once.
+	pulseLeast     = 400 * time.Millisecond
+	pulseBalancers = 16
+	pulseMost      = 1600 * time.Millisecond
 	// silentReports missed and silentDelay make a side process silent.
 	silentReports = 3
 	silentDelay   = 150 * time.Millisecond
@@ -35,6 +39,9 @@
 	// looked for without it. A planned restart takes about a second; a request
 	// that waits for longer than this has missed its deadline anyway.
 	absentAfter = 2500 * time.Millisecond
+	// greetEvery is how often a side process that has not been heard is greeted at
+	// most: several round trips.
+	greetEvery = 50 * time.Millisecond
 	// isolatedShare is the share of side processes that have to be heard for
 	// silence to say something about the others and not about this balancer.
 	isolatedShare = 0.5
@@ -43,8 +50,10 @@
 	goneAfter = 10 * time.Second
 	// dropBalancer is how long a silent balancer stays known.
 	dropBalancer = 15 * time.Second
-	// aliveFor is how fresh a pulse is of a balancer that shares turns.
-	aliveFor = 1500 * time.Millisecond
+	// alivePulses are missed, and aliveDelay late, by a balancer that no longer shares
+	// turns.
+	alivePulses = 3
+	aliveDelay  = 300 * time.Millisecond
 )
 
 // Side is one side process and its endpoint.
@@ -77,8 +86,8 @@
 	// all are the side processes of every service by host.
 	all []*Side
 	// named are side processes that another balancer knows and this one has not
-	// heard, with the time until which that counts.
-	named map[frame.Host]time.Time
+	// heard.
+	named map[frame.Host]naming
 	// written are side processes in the record of the members that was read at
 	// start. Whether their endpoints were present tells the value: one that had
 	// left and starts again without an endpoint is no news.
@@ -94,7 +103,7 @@
 		sides:     map[frame.Host]*Side{},
 		balancers: map[frame.Host]*Balancer{},
 		services:  map[pact.ServiceID][]*Side{},
-		named:     map[frame.Host]time.Time{},
+		named:     map[frame.Host]naming{},
 		written:   map[frame.Host]bool{},
 	}
 }
@@ -198,6 +207,11 @@
 	return min(max(loadLeast, loadLeast*time.Duration(balancers)/loadBalancers), loadMost)
 }
 
+// PulseEvery is the interval of pulses to a number of other balancers.
+func PulseEvery(balancers int) time.Duration {
+	return min(max(pulseLeast, pulseLeast*time.Duration(balancers)/pulseBalancers), pulseMost)
+}
+
 // ShareUnit is one flow for each slot in the result of FlowShare.
 const ShareUnit = 16
 
@@ -239,15 +253,29 @@
 	return list
 }
 
-// NameSide notes a side process that others know, and tells whether it has not
-// been heard here.
+// naming is a side process that is known by name only.
+type naming struct {
+	// until is how long it is waited for, and greetAt when it is greeted again.
+	until   time.Time
+	greetAt time.Time
+}
+
+// NameSide notes a side process that others know, and tells whether it is to be
+// greeted: it has not been heard here, and not been greeted just now. A balancer that
+// starts is told the same names by every other one.
 func (r *Roster) NameSide(now time.Time, h frame.Host) bool {
 	if _, ok := r.sides[h]; ok {
 		return false
 	}
-	if _, ok := r.named[h]; !ok {
-		r.named[h] = now.Add(absentAfter)
+	n, ok := r.named[h]
+	if !ok {
+		n.until = now.Add(absentAfter)
 	}
+	if now.Before(n.greetAt) {
+		return false
+	}
+	n.greetAt = now.Add(greetEvery)
+	r.named[h] = n
 	return true
 }
 
@@ -389,6 +417,7 @@
 // Turn is this balancer's place among those alive, for the work that one of them
 // does for all.
 func (r *Roster) Turn(now time.Time) (turn int) {
+	aliveFor := alivePulses*PulseEvery(len(r.balancers)) + aliveDelay
 	for h, b := range r.balancers {
 		if h < r.self && b.Met && !b.Leaving && now.Before(b.HeardAt.Add(aliveFor)) {
 			turn++
@@ -400,12 +429,16 @@
 // Digest identifies a set of hosts.
 func Digest(list []frame.Host) (sum uint64) {
 	for _, h := range list {
-		x := uint64(h) * 0x9e3779b97f4a7c15
-		sum += x ^ x>>29
+		sum += digest(h)
 	}
 	return sum
 }
 
+func digest(h frame.Host) uint64 {
+	x := uint64(h) * 0x9e3779b97f4a7c15
+	return x ^ x>>29
+}
+
 // Expire forgets members that were silent for long and gives them.
 func (r *Roster) Expire(now time.Time) (sides, balancers []frame.Host) {
 	for h, s := range r.sides {
@@ -431,8 +464,8 @@
 }
 
 func (r *Roster) expireNamed(now time.Time) {
-	for h, until := range r.named {
-		if now.After(until) {
+	for h, n := range r.named {
+		if now.After(n.until) {
 			delete(r.named, h)
 		}
 	}
