hold: an endpoint's reset of a flow that it is asked about is a denial

The side process, which had asked it whose the flow was, sent the reset to the caller, whose request another endpoint then ran. Possible since owners are looked for among all services, and before it in one service. Such a reset is now taken for a denial and the next endpoint is asked; resets of the endpoint's own flows go on as before.

--- a/internal/relay/hold/arrive.go
+++ b/internal/relay/hold/arrive.go
@@ -333,6 +333,25 @@
 	h.notHere(b.Packet, c, EndpointDenied)
 }
 
+// deniedByReset takes an endpoint's reset for a denial if the endpoint was asked whose
+// the flow is. The caller is not to see it: another endpoint may hold the flow.
+func (h *Hold) deniedByReset(p link.Packet) bool {
+	if _, ok := h.flows[p.Key]; ok {
+		return false
+	}
+	for _, number := range h.timed {
+		m := &h.marks[number%markSlots]
+		if m.number != number || m.ask != askWhose || m.key != p.Key {
+			continue
+		}
+		m.ask = 0
+		m.carry.Packet = m.raw
+		h.notHere(m.packet, m.carry, EndpointDenied)
+		return true
+	}
+	return false
+}
+
 // retry passes on an opening that the endpoint did not take after all. One that
 // was given to the least loaded candidate has been offered to every other.
 func (h *Hold) retry(p link.Packet, c *frame.Carry, why Reason) {
--- a/internal/relay/hold/flow.go
+++ b/internal/relay/hold/flow.go
@@ -125,6 +125,9 @@
 func (h *Hold) answered(now time.Time, a Answered) {
 	h.heard()
 	p := a.Packet
+	if p.IsReset() && h.deniedByReset(p) {
+		return
+	}
 	h.add(Forward{
 		Raw: a.Raw,
 		Key: p.Key,
--- a/internal/relay/hold/script_test.go
+++ b/internal/relay/hold/script_test.go
@@ -18,7 +18,8 @@
 
 // Hosts are small numbers: this process is 1, balancers are from 90 on. Flows are
 // named by their caller's port. Events: syn, data, fin, rst (packets that arrive),
-// synack, answer, close (packets of the endpoint), bounce, report, left, leave,
+// synack, answer, close,
+// abort (packets of the endpoint), bounce, report, left, leave,
 // told, dead, owner, tick.
 var _ = Describe("Hold", func() {
 	cases, err := script.Read("testdata/*.txt")
@@ -61,7 +62,7 @@
 			Packet: p,
 			Carry:  carry(l),
 		}
-	case "synack", "answer", "close":
+	case "synack", "answer", "close", "abort":
 		return hold.Answered{
 			Packet: packet(l),
 		}
@@ -137,7 +138,7 @@
 	case "fin", "close":
 		p.Kind = link.Closing
 		p.Flags |= flagFin
-	case "rst":
+	case "rst", "abort":
 		p.Kind = link.Closing
 		p.Flags = flagRst
 	}
