--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -93,7 +93,7 @@
 		zone:      xxhash.Sum64String(s.Zone),
 		process:   rand.Uint64(),
 		started:   time.Now(),
-		balancers: roster.NewContacts(),
+		balancers: roster.NewContacts(time.Now()),
 		observe:   func(string, time.Duration) {},
 	}
 	for _, o := range options {
--- a/internal/relay/agent/fleet.go
+++ b/internal/relay/agent/fleet.go
@@ -131,10 +131,10 @@
 func (a *Agent) report(now time.Time, first bool) {
 	a.sequence++
 	l := a.load(now, first)
-	checker := a.balancers.Checker()
+	a.balancers.NextRound()
 	for _, h := range a.balancers.Hosts() {
 		l.Balancers = frame.NoCheck
-		if h == checker {
+		if a.balancers.Checks(now, h) {
 			l.Balancers = a.balancers.Digest()
 		}
 		a.send(h, l)
--- a/internal/relay/roster/contacts.go
+++ b/internal/relay/roster/contacts.go
@@ -11,12 +11,18 @@
 // the load: longer than balancers remember each other.
 const forgetContact = 20 * time.Second
 
-// Contacts are the balancers that a side process reports to. With each report one of
-// them in turn is asked to check the list, so that keeping it costs an answer for each
+// checkAllFor is how long after a side process has started every balancer checks its
+// list: while all start together each knows a few of the others.
+const checkAllFor = 3 * time.Second
+
+// Contacts are the balancers that a side process reports to. With each round of
+// reports one of them in turn is asked to check the list, so that keeping it costs an answer for each
 // round of reports and not for each report, however much the balancers' lists differ
 // while some of them join or leave.
 type Contacts struct {
-	contacts map[frame.Host]*contact
+	// checkAllUntil is until when everybody checks the list.
+	checkAllUntil time.Time
+	contacts      map[frame.Host]*contact
 	// hosts are the keys of contacts in order.
 	hosts []frame.Host
 	turn  int
@@ -28,9 +34,11 @@
 	missingSince time.Time
 }
 
-// NewContacts makes a list without balancers.
-func NewContacts() *Contacts {
+// NewContacts makes the list of a side process that starts now.
+func NewContacts(now time.Time) *Contacts {
 	return &Contacts{
+		checkAllUntil: now.Add(checkAllFor),
+
 		contacts: map[frame.Host]*contact{},
 	}
 }
@@ -88,11 +96,12 @@
 	return sum
 }
 
-// Checker gives the balancer whose turn it is to check the list, 0 if there is none.
-func (c *Contacts) Checker() frame.Host {
-	if len(c.hosts) == 0 {
-		return 0
-	}
+// NextRound gives the turn to check the list to the next balancer.
+func (c *Contacts) NextRound() {
 	c.turn++
-	return c.hosts[c.turn%len(c.hosts)]
+}
+
+// Checks tells whether a balancer is to check the list in this round.
+func (c *Contacts) Checks(now time.Time, h frame.Host) bool {
+	return now.Before(c.checkAllUntil) || len(c.hosts) > 0 && c.hosts[c.turn%len(c.hosts)] == h
 }
--- a/internal/relay/roster/contacts_test.go
+++ b/internal/relay/roster/contacts_test.go
@@ -1,7 +1,9 @@
 package roster_test
 
 import (
+	"slices"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -11,7 +13,8 @@
 	"github.com/clementinewing/clementinewing/internal/relay/roster"
 )
 
-// Events: name (balancers that were heard), list (what a balancer knows), checker,
+// Events: name (balancers that were heard), list (what a balancer knows), round
+// (who checks in the next one),
 // digest (compared with that of the hosts given), hosts.
 var _ = Describe("Contacts", func() {
 	cases, err := script.Read("testdata/contacts/*.txt")
@@ -20,7 +23,7 @@
 	}
 	for _, c := range cases {
 		It(c.Name, func() {
-			contacts := roster.NewContacts()
+			contacts := roster.NewContacts(time.UnixMilli(0).UTC())
 			for i := range c.Lines {
 				l := &c.Lines[i]
 				Expect(contact(contacts, l)).To(Equal(l.Want), "line %d", l.Number)
@@ -33,15 +36,24 @@
 	// balancers.
 	It("is checked once in a round of reports, by each balancer in its turn", func() {
 		const balancers = 300
-		contacts := roster.NewContacts()
+		contacts := roster.NewContacts(time.UnixMilli(0).UTC())
 		for i := range balancers {
 			contacts.Name(frame.Host(i + 1))
 		}
-		seen := map[frame.Host]int{}
+		now := time.UnixMilli(0).UTC().Add(time.Minute)
+		checked := map[frame.Host]int{}
 		for range balancers {
-			seen[contacts.Checker()]++
+			contacts.NextRound()
+			for _, h := range contacts.Hosts() {
+				if contacts.Checks(now, h) {
+					checked[h]++
+				}
+			}
+		}
+		Expect(checked).To(HaveLen(balancers))
+		for _, n := range checked {
+			Expect(n).To(Equal(1))
 		}
-		Expect(seen).To(HaveLen(balancers))
 	})
 })
 
@@ -59,8 +71,9 @@
 	case "list":
 		added, forgotten := c.Named(l.At, list)
 		return strings.Trim(told("added", added)+" "+told("forgotten", forgotten), " ")
-	case "checker":
-		return numbers([]frame.Host{c.Checker()})
+	case "round":
+		c.NextRound()
+		return numbers(slices.DeleteFunc(slices.Clone(c.Hosts()), func(h frame.Host) bool { return !c.Checks(l.At, h) }))
 	case "digest":
 		return yes(c.Digest() == roster.Digest(list), "same")
 	case "hosts":
