hold: requests on open flows wait in order once the endpoint has twice its slots

Now requests wait here as well once the endpoint has twice its slots in hand, in one order with the openings. Balancers tell objective and priority of the route with every packet.

The load rig started a queued request after the answer of the one before had been acted upon, so that an endpoint could run one more than its slots; it starts it before now.

Not done: a request on an open flow that will not be served is not told, since only its endpoint may end an open flow; its caller's deadline passes.

--- a/internal/relay/frame/frame.go
+++ b/internal/relay/frame/frame.go
@@ -99,8 +99,8 @@
 	// Share is how many flows a slot of the service holds on average, in 16ths; 0
 	// is unknown. It counts for openings only.
 	Share uint16
-	// Aim is the latency objective of the route in milliseconds, and Urgency its
-	// priority, 0 before others; both count for openings only.
+	// Aim is the latency objective of the route in milliseconds, 0 if it is not known,
+	// and Urgency its priority, 0 before others.
 	Aim     uint16
 	Urgency uint8
 	Service pact.ServiceID
--- a/internal/relay/guide/guide.go
+++ b/internal/relay/guide/guide.go
@@ -8,6 +8,7 @@
 package guide
 
 import (
+	"math"
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
@@ -256,6 +257,7 @@
 		g.lookup(now, p.Packet, p.Raw, search{})
 		return
 	}
+	aim, urgency := g.routeOf(p.Key)
 	g.add(Send{
 		To:   host,
 		Key:  p.Key,
@@ -264,6 +266,8 @@
 		Carry: &frame.Carry{
 			Flags:    frame.Cached,
 			Best:     frame.NoBest,
+			Aim:      aim,
+			Urgency:  urgency,
 			Service:  x.service,
 			Balancer: g.self,
 			List:     []frame.Host{host},
@@ -272,6 +276,23 @@
 	})
 }
 
+// routeOf gives latency objective and priority of a flow's route, as a Carry tells them.
+func (g *Guide) routeOf(key link.Key) (aim uint16, urgency uint8) {
+	current := g.held.Current()
+	if current == nil {
+		return 0, 0
+	}
+	route, ok := current.Routes[plan.TargetOf(key)]
+	if !ok {
+		return 0, 0
+	}
+	return aimOf(route), route.Urgency
+}
+
+func aimOf(r *plan.Route) uint16 {
+	return uint16(min(r.Aim.Milliseconds(), math.MaxUint16))
+}
+
 func (g *Guide) remember(now time.Time, key link.Key) *entry {
 	if len(g.flows) >= mostFlows {
 		return nil
--- a/internal/relay/guide/open.go
+++ b/internal/relay/guide/open.go
@@ -1,7 +1,6 @@
 package guide
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -96,7 +95,7 @@
 		list:      list,
 		home:      home,
 		share:     g.members.FlowShare(now, service),
-		aim:       uint16(min(route.Aim.Milliseconds(), math.MaxUint16)),
+		aim:       aimOf(route),
 		urgency:   route.Urgency,
 		startedAt: now,
 		sentAt:    now,
--- a/internal/relay/guide/search.go
+++ b/internal/relay/guide/search.go
@@ -75,6 +75,8 @@
 			Flags:    flags,
 			Best:     frame.NoBest,
 			Leg:      s.leg,
+			Aim:      aimOf(route),
+			Urgency:  route.Urgency,
 			Service:  route.Choose(p.Key.Hash()),
 			Balancer: g.self,
 			Home:     place.Home(now, p.Key.Hash(), g.members.All()),
--- a/internal/relay/hold/arrive.go
+++ b/internal/relay/hold/arrive.go
@@ -53,7 +53,7 @@
 		h.tell(f, p.Key)
 		return
 	}
-	if w, waits := h.waiting[p.Key]; waits && w.packet.Sequence == p.Sequence {
+	if w, waits := h.waiting[p.Key]; waits && w.flow == nil && w.packet.Sequence == p.Sequence {
 		w.carry.Balancer = c.Balancer
 		h.tellWaiting(w)
 		return
@@ -111,6 +111,8 @@
 	if f, ok := h.flows[p.Key]; ok {
 		h.use(f, phaseIdle)
 	}
+	// A caller that uses its port again has given up what waited.
+	delete(h.waiting, p.Key)
 	f := &flow{
 		since:    now,
 		keep:     now.Add(closedKeep),
@@ -122,6 +124,7 @@
 		sent:      p.Sequence + p.Length(),
 		sentKnown: true,
 	}
+	f.learn(c)
 	h.use(f, phaseOpening)
 	h.flows[p.Key] = f
 	h.give(now, p, c, askOpening)
@@ -236,6 +239,10 @@
 		if c.Flags&frame.Cached == 0 || moved {
 			h.tell(f, p.Key)
 		}
+		f.learn(c)
+		if h.holdBack(now, f, p, c) {
+			return
+		}
 		h.fromCaller(now, f, p, c.Packet)
 		h.give(now, p, c, askOwned)
 		return
--- a/internal/relay/hold/endpoint.go
+++ b/internal/relay/hold/endpoint.go
@@ -96,8 +96,7 @@
 func (h *Hold) reborn(r Report) {
 	e := &h.endpoint
 	if e.reported && e.born != 0 {
-		clear(h.flows)
-		h.inUse = 0
+		h.forgetFlows()
 		h.average = 0
 		e.complete = true
 	}
@@ -110,6 +109,17 @@
 	e.refusesUntil = time.Time{}
 }
 
+// forgetFlows drops the flows of an endpoint that has ended, and the requests on them.
+func (h *Hold) forgetFlows() {
+	clear(h.flows)
+	h.inUse = 0
+	for key, w := range h.waiting {
+		if w.flow != nil {
+			delete(h.waiting, key)
+		}
+	}
+}
+
 // refusedFor is how long an endpoint that returned an opening is not given
 // another: it is full for about the time that one request takes.
 const refusedFor = 60 * time.Millisecond
@@ -130,8 +140,7 @@
 func (h *Hold) dead() {
 	e := &h.endpoint
 	before := e.state()
-	clear(h.flows)
-	h.inUse = 0
+	h.forgetFlows()
 	e.gone = true
 	e.complete = true
 	h.changed(before, NotListening)
--- a/internal/relay/hold/flow.go
+++ b/internal/relay/hold/flow.go
@@ -43,6 +43,9 @@
 	balancer frame.Host
 	home     frame.Host
 	fins     uint8
+	// aim and urgency are the route's, as far as they are known.
+	aim     time.Duration
+	urgency uint8
 }
 
 const (
@@ -100,16 +103,28 @@
 // advances tells whether a packet of the caller brings bytes that it has not sent
 // before: a repeated packet is no new request.
 func (f *flow) advances(p link.Packet) bool {
-	end := p.Sequence + p.Length()
-	if p.Payload == 0 || f.sentKnown && int32(end-f.sent) <= 0 {
-		// A bare acknowledgment may overtake the bytes that it follows.
+	if !f.brings(p) {
 		return false
 	}
-	f.sent = end
+	f.sent = p.Sequence + p.Length()
 	f.sentKnown = true
 	return true
 }
 
+// brings tells whether a packet has bytes that the caller has not sent before. A bare
+// acknowledgment has none; it may overtake the bytes that it follows.
+func (f *flow) brings(p link.Packet) bool {
+	return p.Payload > 0 && (!f.sentKnown || int32(p.Sequence+p.Length()-f.sent) > 0)
+}
+
+// learn takes what the balancer says of the flow's route.
+func (f *flow) learn(c *frame.Carry) {
+	if c.Aim != 0 {
+		f.aim = time.Duration(c.Aim) * time.Millisecond
+		f.urgency = c.Urgency
+	}
+}
+
 // end notes that an end of the flow has closed; a flow with both closed is kept a
 // while for what is under way.
 func (h *Hold) end(now time.Time, f *flow, fin uint8) {
--- a/internal/relay/hold/load_test.go
+++ b/internal/relay/hold/load_test.go
@@ -73,6 +73,8 @@
 	sides  []*loadSide
 	calls  map[uint16]*loadCall
 	next   uint16
+	// urgency is that of openings.
+	urgency uint8
 	// warm is when endpoints stop being slow.
 	warm time.Time
 	got  outcome
@@ -91,16 +93,19 @@
 	tries int
 	side  *loadSide
 	done  bool
+	// got is where the outcome counts.
+	got *outcome
 }
 
-// play runs the load; slots is what the endpoints report, their true number or so
-// many that all waiting is in their own queues.
-func playLoad(l load, slots int) outcome {
+// newLoadWorld makes the endpoints of a load; slots is what they report, their true
+// number or so many that all waiting is in their own queues.
+func newLoadWorld(l load, slots int) *loadWorld {
 	w := &loadWorld{
-		load:   l,
-		clock:  clock.New(),
-		random: rand.New(rand.NewPCG(1, 2)),
-		calls:  map[uint16]*loadCall{},
+		load:    l,
+		clock:   clock.New(),
+		random:  rand.New(rand.NewPCG(1, 2)),
+		calls:   map[uint16]*loadCall{},
+		urgency: 2,
 	}
 	for i := range l.endpoints {
 		s := &loadSide{
@@ -120,6 +125,12 @@
 		})
 		s.tick()
 	}
+	return w
+}
+
+// playLoad runs the load of an outage.
+func playLoad(l load, slots int) outcome {
+	w := newLoadWorld(l, slots)
 	w.warm = w.clock.Now().Add(2 * time.Second)
 	for range l.backlog {
 		// These were due while nothing ran: they are late already.
@@ -135,6 +146,7 @@
 func (w *loadWorld) arrive(born time.Time) {
 	w.try(&loadCall{
 		born: born,
+		got:  &w.got,
 	})
 }
 
@@ -167,7 +179,7 @@
 		return
 	}
 	c.done = true
-	w.got.failed++
+	c.got.failed++
 }
 
 // arrive hands an opening or a request to a side process. The first byte of the
@@ -176,7 +188,7 @@
 	c := &frame.Carry{
 		Best:     frame.NoBest,
 		Aim:      uint16(s.world.aim.Milliseconds()),
-		Urgency:  2,
+		Urgency:  s.world.urgency,
 		Service:  pact.Identify(service),
 		Balancer: 90,
 		List:     list,
@@ -294,13 +306,13 @@
 	}
 	w.clock.After(work, func() {
 		s.busy--
-		s.answer(flow, flagAck, 10)
-		w.served(flow)
 		if len(s.queue) > 0 {
 			next := s.queue[0]
 			s.queue = s.queue[1:]
 			s.run(next)
 		}
+		w.served(flow)
+		s.answer(flow, flagAck, 10)
 	})
 }
 
@@ -313,11 +325,11 @@
 	c.done = true
 	switch took := w.clock.Now().Add(hop).Sub(c.born); {
 	case took <= w.aim:
-		w.got.inAim++
+		c.got.inAim++
 	case took <= loadDeadline:
-		w.got.late++
+		c.got.late++
 	default:
-		w.got.failed++
+		c.got.failed++
 	}
 }
 
--- a/internal/relay/hold/wait.go
+++ b/internal/relay/hold/wait.go
@@ -39,11 +39,15 @@
 	workMargin = 1.5
 )
 
-// waiter is one opening that waits for a slot.
+// waiter is one opening, or one request on an open flow, that waits for a slot.
 type waiter struct {
-	packet link.Packet
-	carry  *frame.Carry
-	since  time.Time
+	// flow is the open flow of a request and packets are those that wait; flow is
+	// nil for an opening.
+	flow    *flow
+	packets []heldPacket
+	packet  link.Packet
+	carry   *frame.Carry
+	since   time.Time
 	// end is when its caller has given up.
 	end time.Time
 	// until is when a request has to begin to meet its objective.
@@ -114,53 +118,100 @@
 	if len(h.waiting) == 0 {
 		return
 	}
-	for key, w := range h.waiting {
-		if now.After(w.end) {
-			delete(h.waiting, key)
-			h.giveBack(w.packet, w.carry, WaitedLong, true)
-		}
-	}
+	h.expireWaiting(now)
 	for len(h.waiting) > 0 {
 		w := h.nextWaiting(now)
-		why, passes := h.passesOn(now, w.carry)
-		if !passes && h.inUse >= h.room() {
-			if h.share < 1 || h.inUse >= int(h.endpoint.slots)*overMost {
-				return
-			}
-			h.share--
+		if w == nil {
+			return
 		}
 		delete(h.waiting, w.packet.Key)
-		if !passes {
-			h.admit(now, w.packet, w.carry, true)
+		if w.flow != nil {
+			h.release(now, w)
+			continue
+		}
+		if why, passes := h.passesOn(now, w.carry); passes {
+			// The endpoint takes no more openings: ask all others again.
+			w.carry.Flags &^= frame.Chosen
+			w.carry.Best = frame.NoBest
+			w.carry.Position = 0
+			h.next(w.packet, w.carry, why)
 			continue
 		}
-		// The endpoint takes no more openings: ask all others again.
-		w.carry.Flags &^= frame.Chosen
-		w.carry.Best = frame.NoBest
-		w.carry.Position = 0
-		h.next(w.packet, w.carry, why)
+		if h.inUse >= h.room() && !h.requestsWait() {
+			h.share--
+		}
+		h.admit(now, w.packet, w.carry, true)
 	}
 }
 
-// nextWaiting picks who gets the next slot: of those that can meet their
-// objective the most urgent, and of these the one with the least time left; if
-// none can, the one that came last: its caller is the least likely to have given up.
+// expireWaiting takes out those whose callers have given up.
+func (h *Hold) expireWaiting(now time.Time) {
+	for key, w := range h.waiting {
+		if !now.After(w.end) {
+			continue
+		}
+		delete(h.waiting, key)
+		if w.flow == nil {
+			h.giveBack(w.packet, w.carry, WaitedLong, true)
+		}
+	}
+}
+
+// requestsWait tells whether a request on an open flow waits.
+func (h *Hold) requestsWait() bool {
+	for _, w := range h.waiting {
+		if w.flow != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// nextWaiting picks who is next, if anybody may go now: of those that can meet their
+// objective the most urgent, and of these the one with the least time left; if none
+// can, the one that came last: its caller is the least likely to have given up.
 func (h *Hold) nextWaiting(now time.Time) (best *waiter) {
+	openings, requests := h.mayGo()
 	for _, w := range h.waiting {
-		if best == nil || w.before(best, now) {
+		may := openings
+		if w.flow != nil {
+			may = requests
+		} else if !may {
+			_, may = h.passesOn(now, w.carry)
+		}
+		if may && (best == nil || w.before(best, now)) {
 			best = w
 		}
 	}
 	return best
 }
 
+// mayGo tells whether openings and requests that wait may go to the endpoint now.
+// Where requests wait as well, both have the same room, and the order decides.
+func (h *Hold) mayGo() (openings, requests bool) {
+	requests = h.inUse < h.requestRoom()
+	if h.requestsWait() {
+		return requests, requests
+	}
+	openings = h.inUse < h.room() || h.share >= 1 && h.inUse < int(h.endpoint.slots)*overMost
+	return openings, requests
+}
+
+// rank is the priority of the route; 0 goes before others.
+func (w *waiter) rank() uint8 {
+	if w.flow != nil {
+		return w.flow.urgency
+	}
+	return w.carry.Urgency
+}
+
 func (w *waiter) before(o *waiter, now time.Time) bool {
 	inTime, otherInTime := now.Before(w.until), now.Before(o.until)
 	switch {
 	case inTime != otherInTime:
 		return inTime
-	case inTime && w.carry.Urgency != o.carry.Urgency:
-		return w.carry.Urgency < o.carry.Urgency
+	case inTime && w.rank() != o.rank():
+		return w.rank() < o.rank()
 	case inTime && !w.until.Equal(o.until):
 		return w.until.Before(o.until)
 	case !w.since.Equal(o.since):
