guide, hold: ask many endpoints for an owner at once, without the packet

Where more than 16 may own a flow its home gets the packet first; if that does not know the owner, or does not answer in 40 ms, all are asked at once by a message of 31 bytes, and packets of the flow are kept meanwhile. Only those that cannot tell are handed the packet. A silent endpoint no longer ends the search.

The agents could tell nothing either: with every VM the endpoint starts some 45 ms before its agent (25 to 57 ms, 137 of them), which then takes its flows for unknown for good. An endpoint that is still cold and that started at most 150 ms before its agent holds no older flow.

hold: requests on open flows wait only while the whole service is busy. Balancers tell how busy the service is.

The fault matrix runs every fault among many endpoints too.

--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -99,7 +99,7 @@
 	for _, o := range options {
 		o(a)
 	}
-	var holding []hold.Option
+	holding := []hold.Option{hold.StartedAt(a.started)}
 	if s.FirstStart {
 		holding = append(holding, hold.FirstStart())
 	}
--- a/internal/relay/agent/packets.go
+++ b/internal/relay/agent/packets.go
@@ -107,6 +107,10 @@
 		a.act(a.hold.Step(now, hold.Elsewhere{
 			Owner: m,
 		}))
+	case frame.Ask:
+		a.act(a.hold.Step(now, hold.Asked{
+			Ask: m,
+		}))
 	case frame.Pulse:
 		a.greeted(now, m)
 	case frame.Roll:
@@ -137,6 +141,8 @@
 			a.send(one.To, one.Stray)
 		case hold.Tell:
 			a.send(one.To, one.Owner)
+		case hold.Deny:
+			a.send(one.To, one.Denial)
 		case hold.Accepted:
 			a.counts.accepted++
 			a.observe(TimeOpening, one.After)
--- a/internal/relay/entry/packets.go
+++ b/internal/relay/entry/packets.go
@@ -59,6 +59,11 @@
 			b.counts.sent[a.Why]++
 			b.logSend(a)
 			b.send(a.To, a.Carry)
+		case guide.Ask:
+			b.counts.asked += uint64(len(a.To))
+			for _, h := range a.To {
+				b.send(h, a.Ask)
+			}
 		case guide.Found:
 			b.observe(TimeOpening, a.After)
 		case guide.Refuse:
@@ -131,6 +136,10 @@
 			Packet: p,
 			Stray:  m,
 		}))
+	case frame.Denial:
+		b.act(b.guide.Step(now, guide.Denied{
+			Denial: m,
+		}))
 	case frame.Load:
 		b.load(now, m)
 	case frame.Pulse:
--- a/internal/relay/entry/state.go
+++ b/internal/relay/entry/state.go
@@ -32,6 +32,7 @@
 	packets       uint64
 	malformed     uint64
 	sendErrors    uint64
+	asked         uint64
 	storeCalls    uint64
 	storeFailures uint64
 	sent          [reasons]uint64
@@ -52,6 +53,7 @@
 		{Name: "packets", Value: c.packets},
 		{Name: "malformed", Value: c.malformed},
 		{Name: "send_errors", Value: c.sendErrors},
+		{Name: "owner_questions", Value: c.asked},
 		{Name: "store_calls", Value: c.storeCalls},
 		{Name: "store_failures", Value: c.storeFailures},
 		{Name: "log_lines_dropped", Value: b.log.Dropped()},
--- a/internal/relay/fault/matrix_test.go
+++ b/internal/relay/fault/matrix_test.go
@@ -14,15 +14,28 @@
 	"github.com/clementinewing/clementinewing/internal/relay/hold"
 )
 
-// seeds is how many flows meet each fault at each step. All of 12 ran by hand.
-const seeds = 4
+const (
+	// seeds is how many flows meet each fault at each step. All of 12 ran by hand.
+	seeds = 4
+	// few and many are endpoints of another service: with few of them an owner is
+	// looked for from one to the next, with many by asking all at once.
+	few  = 1
+	many = 20
+)
 
 var _ = Describe("a flow", func() {
 	for _, row := range readRows() {
 		It(row.fault+" at every step: "+row.want, func() {
 			for step := range steps {
 				for seed := range seeds {
-					check(row, step, uint64(seed))
+					check(row, step, uint64(seed), few)
+				}
+			}
+		})
+		It(row.fault+" at every step among many endpoints: "+row.want, func() {
+			for step := range steps {
+				for seed := range seeds / 2 {
+					check(row, step, uint64(seed), many)
 				}
 			}
 		})
@@ -39,7 +52,7 @@
 			checkAll(row{
 				fault: a.fault + " and " + b.fault,
 				want:  "kept",
-			}, []string{a.fault, b.fault}, random.IntN(steps), random.Uint64N(1000))
+			}, []string{a.fault, b.fault}, random.IntN(steps), random.Uint64N(1000), []int{few, many}[random.IntN(2)])
 		}
 	})
 })
@@ -65,12 +78,12 @@
 	return rows
 }
 
-func check(r row, step int, seed uint64) {
-	checkAll(r, []string{r.fault}, step, seed)
+func check(r row, step int, seed uint64, more int) {
+	checkAll(r, []string{r.fault}, step, seed, more)
 }
 
-func checkAll(r row, faults []string, step int, seed uint64) {
-	w := newWorld(rand.New(rand.NewPCG(seed, 1)))
+func checkAll(r row, faults []string, step int, seed uint64, more int) {
+	w := newWorld(rand.New(rand.NewPCG(seed, 1)), more)
 	struck := false
 	lostHeld := false
 	w.call(uint16(1000+seed), func(at int) {
--- a/internal/relay/fault/naive_test.go
+++ b/internal/relay/fault/naive_test.go
@@ -55,7 +55,7 @@
 
 // finished plays one flow and tells whether it came to its end.
 func finished(naive bool, fault string, step int, seed uint64) bool {
-	w := newWorld(rand.New(rand.NewPCG(seed, 1)))
+	w := newWorld(rand.New(rand.NewPCG(seed, 1)), few)
 	w.naive = naive
 	struck := false
 	w.call(uint16(1000+seed), func(at int) {
--- a/internal/relay/fault/world_test.go
+++ b/internal/relay/fault/world_test.go
@@ -87,7 +87,8 @@
 	flows  map[link.Key]uint32
 }
 
-func newWorld(random *rand.Rand) *world {
+// newWorld makes a deployment; more is how many endpoints of another service it has.
+func newWorld(random *rand.Rand, more int) *world {
 	w := &world{
 		clock:  clock.New(),
 		random: random,
@@ -107,7 +108,9 @@
 	for range sides {
 		w.join(service)
 	}
-	w.join(other)
+	for range more {
+		w.join(other)
+	}
 	w.clock.Run(w.clock.Now().Add(2 * time.Second))
 	return w
 }
@@ -241,6 +244,15 @@
 			c := *a.Carry
 			c.Packet = append([]byte(nil), c.Packet...)
 			w.carry(a.To, &c)
+		case guide.Ask:
+			for _, h := range a.To {
+				ask := a.Ask
+				w.datagram(func() {
+					w.sides[h-1].step(hold.Asked{
+						Ask: ask,
+					})
+				})
+			}
 		case guide.Refuse:
 			w.caller.reset(a.Packet.Key, "refused: "+a.Why.String(), true)
 		case guide.Reset:
@@ -363,6 +375,12 @@
 					Stray:  stray,
 				})
 			})
+		case hold.Deny:
+			w.datagram(func() {
+				w.balancerAt(a.To).step(guide.Denied{
+					Denial: a.Denial,
+				})
+			})
 		case hold.Tell:
 			w.told(a)
 		case hold.Changed:
--- a/internal/relay/frame/codec.go
+++ b/internal/relay/frame/codec.go
@@ -33,6 +33,17 @@
 		return appendPulse(out, m)
 	case Roll:
 		return appendRoll(out, m)
+	case Ask:
+		out = append(out, magic, version, kindAsk, flag(m.Acknowledges, bitOne))
+		out = order.AppendUint32(out, m.Number)
+		out = order.AppendUint32(out, uint32(m.Balancer))
+		out = appendKey(out, m.Key)
+		return order.AppendUint32(out, m.Acknowledgment)
+	case Denial:
+		out = append(out, magic, version, kindDeny, flag(m.Sure, bitOne))
+		out = order.AppendUint32(out, m.Number)
+		out = order.AppendUint32(out, uint32(m.Host))
+		return appendKey(out, m.Key)
 	default:
 		return out
 	}
@@ -51,6 +62,7 @@
 	out = order.AppendUint16(out, m.Share)
 	out = order.AppendUint16(out, m.Aim)
 	out = append(out, m.Urgency, m.Leg)
+	out = order.AppendUint16(out, m.Busy)
 	out = order.AppendUint64(out, uint64(m.Service))
 	out = order.AppendUint32(out, uint32(m.Balancer))
 	out = order.AppendUint32(out, uint32(m.Home))
@@ -67,15 +79,19 @@
 
 func appendOwner(out []byte, m Owner) []byte {
 	out = append(out, magic, version, kindOwner, flag(m.Known, bitOne))
-	out = order.AppendUint32(out, m.Key.Caller)
-	out = order.AppendUint32(out, m.Key.Target)
-	out = order.AppendUint16(out, m.Key.CallerPort)
-	out = order.AppendUint16(out, m.Key.TargetPort)
-	out = append(out, m.Key.Protocol)
+	out = appendKey(out, m.Key)
 	out = order.AppendUint32(out, uint32(m.Host))
 	return order.AppendUint32(out, m.Initial)
 }
 
+func appendKey(out []byte, k link.Key) []byte {
+	out = order.AppendUint32(out, k.Caller)
+	out = order.AppendUint32(out, k.Target)
+	out = order.AppendUint16(out, k.CallerPort)
+	out = order.AppendUint16(out, k.TargetPort)
+	return append(out, k.Protocol)
+}
+
 func appendLoad(out []byte, m *Load) []byte {
 	out = append(out, magic, version, kindLoad, flag(m.Proven, bitOne)|flag(m.First, bitTwo)|flag(m.Refuses, bitThree), byte(m.State))
 	out = order.AppendUint32(out, uint32(m.Host))
@@ -129,6 +145,10 @@
 		m = r.pulse()
 	case kindRoll:
 		m = r.roll()
+	case kindAsk:
+		m = r.ask()
+	case kindDeny:
+		m = r.denial()
 	default:
 		return nil, ErrForeign
 	}
@@ -184,6 +204,7 @@
 	c.Aim = r.uint16()
 	c.Urgency = r.byte()
 	c.Leg = r.byte()
+	c.Busy = r.uint16()
 	c.Service = pact.ServiceID(r.uint64())
 	c.Balancer = r.host()
 	c.Home = r.host()
@@ -211,19 +232,44 @@
 func (r *reader) owner() Owner {
 	known := r.byte()&bitOne != 0
 	return Owner{
-		Known: known,
-		Key: link.Key{
-			Caller:     r.uint32(),
-			Target:     r.uint32(),
-			CallerPort: r.uint16(),
-			TargetPort: r.uint16(),
-			Protocol:   r.byte(),
-		},
+		Known:   known,
+		Key:     r.key(),
 		Host:    r.host(),
 		Initial: r.uint32(),
 	}
 }
 
+func (r *reader) key() link.Key {
+	return link.Key{
+		Caller:     r.uint32(),
+		Target:     r.uint32(),
+		CallerPort: r.uint16(),
+		TargetPort: r.uint16(),
+		Protocol:   r.byte(),
+	}
+}
+
+func (r *reader) ask() Ask {
+	acknowledges := r.byte()&bitOne != 0
+	return Ask{
+		Acknowledges:   acknowledges,
+		Number:         r.uint32(),
+		Balancer:       r.host(),
+		Key:            r.key(),
+		Acknowledgment: r.uint32(),
+	}
+}
+
+func (r *reader) denial() Denial {
+	sure := r.byte()&bitOne != 0
+	return Denial{
+		Sure:   sure,
+		Number: r.uint32(),
+		Host:   r.host(),
+		Key:    r.key(),
+	}
+}
+
 func (r *reader) load() Load {
 	bits := r.byte()
 	return Load{
--- a/internal/relay/frame/frame.go
+++ b/internal/relay/frame/frame.go
@@ -27,6 +27,8 @@
 	kindLoad  = 4
 	kindPulse = 5
 	kindRoll  = 6
+	kindAsk   = 7
+	kindDeny  = 8
 
 	headBytes = 3
 	// MaxList bounds the candidates that a balancer gives to a Carry.
@@ -43,7 +45,7 @@
 	ErrShort   = errors.New("datagram is shorter than its message")
 )
 
-// Message is one datagram: Carry, Stray, Owner, Load, Pulse or Roll.
+// Message is one datagram: Carry, Stray, Owner, Load, Pulse, Roll, Ask or Denial.
 type Message interface{ message() }
 
 // Host is the IPv4 address of a process of the fleet; all use the same ports.
@@ -103,6 +105,9 @@
 	// and Urgency its priority, 0 before others.
 	Aim     uint16
 	Urgency uint8
+	// Busy is what the endpoints of the service have in hand on average, in 64ths of
+	// their slots; 0 is unknown. It counts for packets of open flows only.
+	Busy    uint16
 	Service pact.ServiceID
 	// Balancer is where hints about the owner go.
 	Balancer Host
@@ -204,9 +209,32 @@
 	Born  uint64
 }
 
+// Ask asks a side process whether its endpoint owns a flow.
+type Ask struct {
+	// Number names the inquiry; it comes back in a Denial.
+	Number uint32
+	// Balancer is where the answer goes: an Owner or a Denial.
+	Balancer Host
+	Key      link.Key
+	// Acknowledgment is that of the caller's packet, if it Acknowledges anything.
+	Acknowledgment uint32
+	Acknowledges   bool
+}
+
+// Denial says that an endpoint does not own a flow.
+type Denial struct {
+	Number uint32
+	Host   Host
+	Key    link.Key
+	// Sure is not set if the side process cannot tell without the flow's packet.
+	Sure bool
+}
+
 func (*Carry) message() {}
 func (Stray) message()  {}
 func (Owner) message()  {}
 func (Load) message()   {}
 func (Pulse) message()  {}
 func (Roll) message()   {}
+func (Ask) message()    {}
+func (Denial) message() {}
--- a/internal/relay/frame/frame_test.go
+++ b/internal/relay/frame/frame_test.go
@@ -24,6 +24,7 @@
 			Aim:      250,
 			Urgency:  1,
 			Leg:      2,
+			Busy:     90,
 			Service:  77,
 			Balancer: 0x0a010203,
 			Home:     0x0a010204,
@@ -83,6 +84,31 @@
 			State:     node.Gone,
 			Born:      4,
 		},
+		frame.Ask{
+			Number:   1,
+			Balancer: 2,
+			Key: link.Key{
+				Caller:     1,
+				Target:     2,
+				CallerPort: 3,
+				TargetPort: 4,
+				Protocol:   6,
+			},
+			Acknowledgment: 3,
+			Acknowledges:   true,
+		},
+		frame.Denial{
+			Number: 1,
+			Host:   2,
+			Key: link.Key{
+				Caller:     1,
+				Target:     2,
+				CallerPort: 3,
+				TargetPort: 4,
+				Protocol:   6,
+			},
+			Sure: true,
+		},
 	}
 }
 
--- a/internal/relay/guide/guide.go
+++ b/internal/relay/guide/guide.go
@@ -54,7 +54,7 @@
 	mostFlows = 60_000
 )
 
-// Event is Packet, Hint, Return or Tick.
+// Event is Packet, Hint, Return, Denied or Tick.
 type Event interface{ event() }
 
 // Packet is a caller's packet; Raw is kept by no one after Step.
@@ -82,7 +82,7 @@
 func (Return) event() {}
 func (Tick) event()   {}
 
-// Action is Send, Refuse, Reset, Drop or Found.
+// Action is Send, Ask, Refuse, Reset, Drop or Found.
 type Action interface{ action() }
 
 // Send gives a packet to a side process.
@@ -138,6 +138,8 @@
 	// lostUntil is how long bare acknowledgments of a flow that every endpoint
 	// has denied are not asked for again.
 	lostUntil time.Time
+	// inquiry is under way while the owner is searched among many.
+	inquiry *inquiry
 	// denied is kept while the flow is asked for a second time.
 	denied *denial
 }
@@ -170,6 +172,11 @@
 	flows   map[link.Key]*entry
 	waiting []*opening
 	denials []*denial
+	// inquiring are the inquiries under way, and inquiries counts all of them.
+	inquiring []*inquiry
+	inquiries uint32
+	// busy is how busy services are.
+	busy map[pact.ServiceID]busyness
 	// settledAt is from when on the members known are taken for complete.
 	settledAt time.Time
 	sweepAt   time.Time
@@ -185,6 +192,7 @@
 		members: members,
 		held:    held,
 		flows:   map[link.Key]*entry{},
+		busy:    map[pact.ServiceID]busyness{},
 
 		settledAt: started.Add(settledAfter),
 	}
@@ -218,6 +226,8 @@
 		g.hint(now, e.Owner)
 	case Return:
 		g.returned(now, e)
+	case Denied:
+		g.deny(now, e.Denial)
 	case Tick:
 		g.tick(now)
 	}
@@ -257,6 +267,11 @@
 		g.lookup(now, p.Packet, p.Raw, search{})
 		return
 	}
+	g.toOwner(now, x, host, p)
+}
+
+// toOwner gives a packet to the side process that is believed to own its flow.
+func (g *Guide) toOwner(now time.Time, x *entry, host frame.Host, p Packet) {
 	aim, urgency := g.routeOf(p.Key)
 	g.add(Send{
 		To:   host,
@@ -268,6 +283,7 @@
 			Best:     frame.NoBest,
 			Aim:      aim,
 			Urgency:  urgency,
+			Busy:     g.busyOf(now, x.service),
 			Service:  x.service,
 			Balancer: g.self,
 			List:     []frame.Host{host},
@@ -276,17 +292,43 @@
 	})
 }
 
+// busyness is how busy a service is, worked out anew after until.
+type busyness struct {
+	load  uint16
+	until time.Time
+}
+
+// busyEvery is how often at most a service's load is worked out: a part of the time
+// between two reports.
+const busyEvery = 100 * time.Millisecond
+
+func (g *Guide) busyOf(now time.Time, id pact.ServiceID) uint16 {
+	b, ok := g.busy[id]
+	if !ok || !now.Before(b.until) {
+		b = busyness{
+			load:  g.members.Busy(now, id),
+			until: now.Add(busyEvery),
+		}
+		g.busy[id] = b
+	}
+	return b.load
+}
+
+// route gives the route of a flow in the plan in force.
+func (g *Guide) route(key link.Key) (r *plan.Route, ok bool) {
+	if current := g.held.Current(); current != nil {
+		r, ok = current.Routes[plan.TargetOf(key)]
+	}
+	return r, ok
+}
+
 // routeOf gives latency objective and priority of a flow's route, as a Carry tells them.
 func (g *Guide) routeOf(key link.Key) (aim uint16, urgency uint8) {
-	current := g.held.Current()
-	if current == nil {
-		return 0, 0
-	}
-	route, ok := current.Routes[plan.TargetOf(key)]
+	r, ok := g.route(key)
 	if !ok {
 		return 0, 0
 	}
-	return aimOf(route), route.Urgency
+	return aimOf(r), r.Urgency
 }
 
 func aimOf(r *plan.Route) uint16 {
@@ -309,6 +351,7 @@
 
 func (g *Guide) tick(now time.Time) {
 	g.askAgain(now)
+	g.expireInquiries(now)
 	kept := g.waiting[:0]
 	for _, o := range g.waiting {
 		x, ok := g.flows[o.key]
--- a/internal/relay/guide/owner.go
+++ b/internal/relay/guide/owner.go
@@ -75,12 +75,11 @@
 	if s := g.members.Side(o.Host); s != nil {
 		x.service = s.Service
 	}
-	if x.owners[0].host == o.Host {
-		x.owners[0] = next
-		return
+	if x.owners[0].host != o.Host {
+		x.owners[1] = x.owners[0]
 	}
-	x.owners[1] = x.owners[0]
 	x.owners[0] = next
+	g.deliverKept(now, x)
 }
 
 // waitsAt tells whether the opening was last known to wait at a side process.
--- a/internal/relay/guide/script_test.go
+++ b/internal/relay/guide/script_test.go
@@ -21,7 +21,8 @@
 
 // Hosts are small numbers; this balancer is 90. Flows are named by their caller's
 // port; ports 443 to 445 are routes of the services rota, sheets and both. Events:
-// plan, load, silence, syn, ack, data, rst, owner, denied, walked, rejected, tick.
+// plan, load, silence, syn, ack, data, rst, owner, denied, walked, denials, rejected,
+// tick.
 var _ = Describe("Guide", func() {
 	cases, err := script.Read("testdata/*.txt")
 	if err != nil {
@@ -85,9 +86,27 @@
 		w.members.NameSide(l.At, frame.Host(l.Int("host", 0)))
 		return nil
 	}
+	if l.Event == "denials" {
+		return w.denials(l)
+	}
 	return w.guide.Step(l.At, event(l))
 }
 
+// denials are the answers of several side processes to one inquiry.
+func (w *world) denials(l *script.Line) (out []guide.Action) {
+	for h := l.Int("from", 1); h <= l.Int("to", 0); h++ {
+		out = append(out, w.guide.Step(l.At, guide.Denied{
+			Denial: frame.Denial{
+				Number: uint32(l.Int("number", 0)),
+				Host:   frame.Host(h),
+				Key:    packet(l).Key,
+				Sure:   l.Has("sure"),
+			},
+		})...)
+	}
+	return out
+}
+
 func event(l *script.Line) guide.Event {
 	p := packet(l)
 	switch l.Event {
@@ -222,12 +241,8 @@
 		switch a := a.(type) {
 		case guide.Send:
 			text := fmt.Sprintf("%s to", a.Why)
-			if len(a.Carry.List) > 20 {
-				text += fmt.Sprintf(" %d of them, leg %d", len(a.Carry.List), a.Carry.Leg)
-			} else {
-				for _, h := range a.Carry.List {
-					text += fmt.Sprintf(" %d", h)
-				}
+			for _, h := range a.Carry.List {
+				text += fmt.Sprintf(" %d", h)
 			}
 			if a.Carry.Flags&frame.Settled != 0 {
 				text += ", settled"
@@ -237,6 +252,12 @@
 			}
 			Expect(a.To).To(Equal(a.Carry.List[0]))
 			out = append(out, text)
+		case guide.Ask:
+			text := fmt.Sprintf("ask %d of them", len(a.To))
+			if a.Settled {
+				text += ", settled"
+			}
+			out = append(out, text)
 		case guide.Found:
 			out = append(out, fmt.Sprintf("found at %d", a.Host))
 		case guide.Refuse:
--- a/internal/relay/guide/search.go
+++ b/internal/relay/guide/search.go
@@ -1,7 +1,6 @@
 package guide
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -30,28 +29,27 @@
 	denier frame.Host
 	// unsure tells that somebody asked could not say.
 	unsure bool
-	// leg counts the lists that were asked.
-	leg uint8
 }
 
 func (g *Guide) lookup(now time.Time, p link.Packet, raw []byte, s search) {
-	current := g.held.Current()
-	if current == nil {
+	if g.held.Current() == nil {
 		g.add(Drop{
 			Packet: p,
 			Why:    NoPlan,
 		})
 		return
 	}
-	route, ok := current.Routes[plan.TargetOf(p.Key)]
+	route, ok := g.route(p.Key)
 	if !ok {
 		g.endUnrouted(p)
 		return
 	}
+	if x := g.flows[p.Key]; x != nil && x.inquiry != nil {
+		x.inquiry.keep(p, raw)
+		return
+	}
 	list, settled := g.ownersOf(now, p.Key, route)
 	list = withoutHost(list, s.denier, !s.unsure)
-	list = list[min(int(s.leg)*frame.MaxList, len(list)):]
-	list = list[:min(len(list), frame.MaxList)]
 	if len(list) == 0 {
 		g.add(Drop{
 			Packet: p,
@@ -59,6 +57,10 @@
 		})
 		return
 	}
+	if len(list) > mostWalked {
+		g.inquire(now, p, raw, list, settled)
+		return
+	}
 	flags := uint8(0)
 	if settled {
 		flags |= frame.Settled
@@ -74,12 +76,12 @@
 		Carry: &frame.Carry{
 			Flags:    flags,
 			Best:     frame.NoBest,
-			Leg:      s.leg,
+			Leg:      legWalk,
 			Aim:      aimOf(route),
 			Urgency:  route.Urgency,
 			Service:  route.Choose(p.Key.Hash()),
 			Balancer: g.self,
-			Home:     place.Home(now, p.Key.Hash(), g.members.All()),
+			Home:     g.home(now, p.Key),
 			List:     list,
 			Packet:   raw,
 		},
@@ -116,32 +118,12 @@
 	isolated := g.members.Isolated(now)
 	list = place.Lookup(now, hash, isolated, g.members.All(), route.Services(hash))
 	settled = !isolated && g.members.Complete(now) && !now.Before(g.settledAt)
-	if len(list) > frame.MaxList && g.anySilent(now, list) {
-		// Who falls silent moves in the order, and could be missed between two
-		// lists.
-		settled = false
-	}
 	return list, settled
 }
 
-func (g *Guide) anySilent(now time.Time, list []frame.Host) bool {
-	return slices.ContainsFunc(list, func(h frame.Host) bool {
-		return g.members.Side(h).Silent(now)
-	})
-}
-
-// moreToAsk tells whether candidates are left after a list was asked.
-func (g *Guide) moreToAsk(now time.Time, p link.Packet, leg uint8) bool {
-	current := g.held.Current()
-	if current == nil {
-		return false
-	}
-	route, ok := current.Routes[plan.TargetOf(p.Key)]
-	if !ok || leg == math.MaxUint8 {
-		return false
-	}
-	list, _ := g.ownersOf(now, p.Key, route)
-	return (int(leg)+1)*frame.MaxList < len(list)
+// home is the side process that keeps the owner of a flow, or 0.
+func (g *Guide) home(now time.Time, key link.Key) frame.Host {
+	return place.Home(now, key.Hash(), g.members.All())
 }
 
 // withoutHost takes a host out of the list, or puts it last if it cannot say
@@ -176,11 +158,8 @@
 		g.denied(now, x, e)
 		return
 	}
-	if g.moreToAsk(now, p, e.Leg) {
-		g.lookup(now, p, e.Stray.Packet, search{
-			unsure: !e.Sure,
-			leg:    e.Leg + 1,
-		})
+	if e.Leg != legWalk {
+		g.handedBack(now, x, e)
 		return
 	}
 	if !ok {
@@ -188,8 +167,14 @@
 			return
 		}
 	}
+	g.unowned(now, x, p, e.Stray.Packet, e.Sure)
+}
+
+// unowned takes note that a search found no owner; it is sure if everybody who may own
+// the flow has denied it.
+func (g *Guide) unowned(now time.Time, x *entry, p link.Packet, raw []byte, sure bool) {
 	if !wantsAnswer(p) {
-		if e.Sure && x.owners[0].host == 0 {
+		if sure && x.owners[0].host == 0 {
 			x.lostUntil = now.Add(lostFor)
 			x.keep = x.lostUntil
 		}
@@ -200,35 +185,35 @@
 		return
 	}
 	x.keep = now.Add(openingKeep)
-	g.notFound(now, x, e)
+	g.notFound(now, x, p, raw, sure)
 }
 
 // notFound counts a search that found no owner. The flow is reset once everybody
 // has denied it for sure at two times, far enough apart.
-func (g *Guide) notFound(now time.Time, x *entry, e Return) {
+func (g *Guide) notFound(now time.Time, x *entry, p link.Packet, raw []byte, sure bool) {
 	d := x.denied
 	if d == nil {
 		d = &denial{
-			key:    e.Packet.Key,
-			packet: e.Packet,
-			raw:    slices.Clone(e.Stray.Packet),
+			key:    p.Key,
+			packet: p,
+			raw:    slices.Clone(raw),
 		}
 	}
 	switch {
-	case !e.Sure:
+	case !sure:
 		d.sureAt = time.Time{}
 	case d.sureAt.IsZero():
 		d.sureAt = now
 	case !now.Before(d.sureAt.Add(askAgainAfter)):
-		delete(g.flows, e.Packet.Key)
+		delete(g.flows, p.Key)
 		g.add(Reset{
-			Packet: e.Packet,
+			Packet: p,
 			Why:    AllDenied,
 		})
 		return
 	}
 	g.add(Drop{
-		Packet: e.Packet,
+		Packet: p,
 		Why:    OwnerUnknown,
 	})
 	if d.due.After(now) || len(g.denials) >= mostAsked {
--- a/internal/relay/hold/arrive.go
+++ b/internal/relay/hold/arrive.go
@@ -175,7 +175,7 @@
 
 // consider notes this candidate as the least loaded of those that were asked.
 func (h *Hold) consider(c *frame.Carry) {
-	load := uint16(min((h.inUse+len(h.waiting))*loadUnit/int(h.endpoint.slots), 0xffff))
+	load := uint16(min((h.inUse+len(h.waiting))*roster.LoadUnit/int(h.endpoint.slots), 0xffff))
 	if c.Best == frame.NoBest || load < c.BestLoad {
 		c.Best = c.Position
 		c.BestLoad = load
@@ -261,6 +261,26 @@
 	h.give(now, p, c, askWhose)
 }
 
+// askedFor answers a balancer that looks for the owner of a flow. Where this process
+// has not seen the endpoint's whole life, only the endpoint can tell, by the packet.
+func (h *Hold) askedFor(a frame.Ask) {
+	f, ok := h.flows[a.Key]
+	if ok && f.known && (!a.Acknowledges || f.hasSent(a.Acknowledgment)) {
+		f.balancer = a.Balancer
+		h.tell(f, a.Key)
+		return
+	}
+	h.add(Deny{
+		To: a.Balancer,
+		Denial: frame.Denial{
+			Number: a.Number,
+			Host:   h.self,
+			Key:    a.Key,
+			Sure:   !ok && h.endpoint.complete,
+		},
+	})
+}
+
 // notHere passes on a packet whose flow is not the endpoint's.
 func (h *Hold) notHere(p link.Packet, c *frame.Carry, why Reason) {
 	if c.Flags&frame.Cached != 0 {
--- a/internal/relay/hold/endpoint.go
+++ b/internal/relay/hold/endpoint.go
@@ -31,6 +31,8 @@
 	refusesUntil time.Time
 	// waits tells that no flow is given to it before its first report.
 	waits bool
+	// watchedFrom is when this process started, in Unix milliseconds; 0 is unknown.
+	watchedFrom uint64
 	// complete tells that every flow it may hold has passed this process.
 	complete  bool
 	coldUntil time.Time
@@ -50,6 +52,18 @@
 	}
 }
 
+// restartLeast is how long at least a side process is away that is started again.
+const restartLeast = 150 * time.Millisecond
+
+// startedSince tells whether an endpoint has started with this process or after it, so
+// that every flow it holds has passed here: both start together when a VM does, and an
+// earlier process would have ended before. The time of day may have been set back
+// meanwhile: an endpoint that is no longer cold has started earlier.
+func (e *endpoint) startedSince(now time.Time, r Report) bool {
+	since := r.Born + uint64(restartLeast.Milliseconds())
+	return e.watchedFrom != 0 && since > e.watchedFrom && r.ColdUntil.After(now)
+}
+
 func (h *Hold) changed(before node.State, why Reason) {
 	if after := h.endpoint.state(); after != before {
 		h.add(Changed{
@@ -61,7 +75,7 @@
 
 // reported takes what the endpoint says of itself. Reports of an earlier life and
 // reports that were overtaken change nothing.
-func (h *Hold) reported(r Report) {
+func (h *Hold) reported(now time.Time, r Report) {
 	e := &h.endpoint
 	before := e.state()
 	if e.born != 0 && r.Born < e.born {
@@ -73,6 +87,9 @@
 	if r.Born > e.born {
 		h.reborn(r)
 	}
+	if !e.reported && e.startedSince(now, r) {
+		e.complete = true
+	}
 	if e.left && r.ID == e.id {
 		return
 	}
--- a/internal/relay/hold/flow.go
+++ b/internal/relay/hold/flow.go
@@ -77,7 +77,12 @@
 	if !f.known || !p.HasAck() {
 		return true
 	}
-	return p.Acknowledgment-f.initial <= f.highest-f.initial
+	return f.hasSent(p.Acknowledgment)
+}
+
+// hasSent tells whether the endpoint has sent what a caller acknowledges.
+func (f *flow) hasSent(acknowledgment uint32) bool {
+	return acknowledgment-f.initial <= f.highest-f.initial
 }
 
 // fromCaller follows a packet that goes to the endpoint.
--- a/internal/relay/hold/hold.go
+++ b/internal/relay/hold/hold.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/relay/roster"
 	"github.com/clementinewing/clementinewing/internal/world/link"
 	"github.com/clementinewing/clementinewing/internal/world/node"
 	"github.com/clementinewing/clementinewing/internal/world/pact"
@@ -49,11 +50,9 @@
 	// averageOver is the time constant of the average load: it spans a few
 	// requests of a long flow.
 	averageOver = 2 * time.Second
-	// loadUnit is the load of one slot in hand-over messages.
-	loadUnit = 64
 )
 
-// Event is Arrived, Answered, Bounced, Placed, Reported, Left, Leave, Told or Tick.
+// Event is Arrived, Answered, Bounced, Elsewhere, Asked, Reported, Left, Leave, Told or Tick.
 type Event interface{ event() }
 
 // Arrived is a packet that a balancer or side process handed over.
@@ -80,6 +79,11 @@
 	frame.Owner
 }
 
+// Asked is a balancer's question whether the endpoint owns a flow.
+type Asked struct {
+	frame.Ask
+}
+
 // Report is what the endpoint says of itself.
 type Report struct {
 	ID       string
@@ -129,6 +133,7 @@
 func (Answered) event()    {}
 func (Bounced) event()     {}
 func (Elsewhere) event()   {}
+func (Asked) event()       {}
 func (Reported) event()    {}
 func (Left) event()        {}
 func (Leave) event()       {}
@@ -136,7 +141,7 @@
 func (Unreachable) event() {}
 func (Tick) event()        {}
 
-// Action is Deliver, HandOn, GiveBack, Tell, Forward, Accepted, Began, Served or
+// Action is Deliver, HandOn, GiveBack, Tell, Deny, Forward, Accepted, Began, Served or
 // Changed.
 type Action interface{ action() }
 
@@ -169,6 +174,12 @@
 	Owner frame.Owner
 }
 
+// Deny answers a balancer that the endpoint does not own a flow.
+type Deny struct {
+	To     frame.Host
+	Denial frame.Denial
+}
+
 // Forward sends a packet of the endpoint to its caller.
 type Forward struct {
 	Raw []byte
@@ -207,6 +218,7 @@
 func (HandOn) action()   {}
 func (GiveBack) action() {}
 func (Tell) action()     {}
+func (Deny) action()     {}
 func (Forward) action()  {}
 func (Accepted) action() {}
 func (Served) action()   {}
@@ -262,6 +274,13 @@
 	}
 }
 
+// StartedAt tells when this process started by the time of day.
+func StartedAt(wall time.Time) Option {
+	return func(h *Hold) {
+		h.endpoint.watchedFrom = uint64(wall.UnixMilli())
+	}
+}
+
 // New makes a Hold for the endpoint of a service beside the process at self.
 func New(self frame.Host, service string, options ...Option) *Hold {
 	h := &Hold{
@@ -291,8 +310,10 @@
 		h.bounced(now, e)
 	case Elsewhere:
 		h.learn(now, e.Owner)
+	case Asked:
+		h.askedFor(e.Ask)
 	case Reported:
-		h.reported(e.Report)
+		h.reported(now, e.Report)
 	case Left:
 		h.left(e.ID)
 	case Leave:
@@ -324,7 +345,7 @@
 		Born:    e.born,
 		Slots:   e.slots,
 		InUse:   uint16(min(h.inUse+len(h.waiting), 0xffff)),
-		Average: uint16(min(h.average*loadUnit, 0xffff)),
+		Average: uint16(min(h.average*roster.LoadUnit, 0xffff)),
 		Flows:   uint16(min(h.openFlows, 0xffff)),
 		Cold:    uint16(max(0, min(e.coldUntil.Sub(now).Milliseconds(), 0xffff))),
 	}
--- a/internal/relay/hold/overload_test.go
+++ b/internal/relay/hold/overload_test.go
@@ -77,6 +77,17 @@
 	return w.got, feeds
 }
 
+// busy is what balancers know from reports.
+func (w *loadWorld) busy() uint16 {
+	load, slots := 0, 0
+	for _, s := range w.sides {
+		l := s.hold.Load(w.clock.Now())
+		load += int(l.Average)
+		slots += int(l.Slots)
+	}
+	return uint16(load / slots)
+}
+
 func exponential(r *rand.Rand, perSecond float64) time.Duration {
 	return time.Duration(float64(time.Second) * r.ExpFloat64() / perSecond)
 }
@@ -112,6 +123,7 @@
 	}
 	if kind == 1 {
 		c.Flags = frame.Cached
+		c.Busy = f.side.world.busy()
 	}
 	return c
 }
--- a/internal/relay/hold/request.go
+++ b/internal/relay/hold/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/relay/roster"
 	"github.com/clementinewing/clementinewing/internal/world/link"
 	"github.com/clementinewing/clementinewing/internal/world/node"
 )
@@ -14,12 +15,17 @@
 // Openings alone cannot be held back then: requests on open flows fill the endpoint's
 // queue, which is first come, first served, until it sheds; all of them are late, and
 // an urgent request that needs a new flow never gets a slot. Nothing is dropped: who
-// waits is served when a slot is free, or given up by its caller.
+// waits is served when a slot is free, or given up by its caller. While other endpoints
+// have room, an endpoint's own refusal serves its callers better: they come back to
+// another endpoint at once.
 const (
 	// requestsOver is how much an endpoint is given at once, in slots, before
 	// requests on open flows wait: as much again as it works on, which still
 	// leaves them in time.
 	requestsOver = 2
+	// busyLeast is how busy the whole service has to be for requests to wait, in
+	// 64ths of its slots: more in hand than can be worked on.
+	busyLeast = 1.75 * roster.LoadUnit
 	// callerGone is how long after the last copy of a packet its caller is taken to
 	// have given up: longer than the longest interval between copies.
 	callerGone = 1800 * time.Millisecond
@@ -50,7 +56,10 @@
 func (h *Hold) holdBack(now time.Time, f *flow, p link.Packet, c *frame.Carry) bool {
 	w, ok := h.waiting[p.Key]
 	if !ok || w.flow != f {
-		if f.phase != phaseIdle || f.fins != 0 || !f.brings(p) || h.inUse < h.requestRoom() || len(h.waiting) >= mostWaiting {
+		if c.Busy < busyLeast || f.phase != phaseIdle || f.fins != 0 || !f.brings(p) {
+			return false
+		}
+		if h.inUse < h.requestRoom() || len(h.waiting) >= mostWaiting {
 			return false
 		}
 		w = &waiter{
--- a/internal/relay/hold/script_test.go
+++ b/internal/relay/hold/script_test.go
@@ -20,7 +20,7 @@
 // named by their caller's port. Events: syn, data, fin, rst (packets that arrive),
 // synack, answer, close,
 // abort (packets of the endpoint), bounce, report, left, leave,
-// told, dead, owner, tick.
+// told, dead, owner, ask, tick.
 var _ = Describe("Hold", func() {
 	cases, err := script.Read("testdata/*.txt")
 	if err != nil {
@@ -42,7 +42,9 @@
 )
 
 func play(c script.Case) {
-	var options []hold.Option
+	options := []hold.Option{
+		hold.StartedAt(time.UnixMilli(1_700_000_000_000)),
+	}
 	if strings.Contains(c.Name, "[first start]") {
 		options = append(options, hold.FirstStart())
 	}
@@ -71,6 +73,16 @@
 			Packet: packet(l),
 			Mark:   uint32(l.Int("mark", 0)),
 		}
+	case "ask":
+		return hold.Asked{
+			Ask: frame.Ask{
+				Number:         uint32(l.Int("number", 0)),
+				Balancer:       frame.Host(l.Int("from", 90)),
+				Key:            key(l),
+				Acknowledgment: uint32(l.Int("ack", 0)),
+				Acknowledges:   true,
+			},
+		}
 	case "report":
 		return hold.Reported{
 			Report: report(l),
@@ -156,6 +168,7 @@
 		Share:    uint16(l.Int("share", 0)),
 		Aim:      uint16(l.Int("aim", 250)),
 		Urgency:  uint8(l.Int("urgency", 2)),
+		Busy:     uint16(l.Int("busy", 0)),
 		List:     []frame.Host{self},
 	}
 	if list := l.Ints("list"); list != nil {
@@ -229,6 +242,12 @@
 			return fmt.Sprintf("tell %d flow %d is here from %d", a.To, a.Owner.Key.CallerPort, a.Owner.Initial)
 		}
 		return fmt.Sprintf("tell %d flow %d is here", a.To, a.Owner.Key.CallerPort)
+	case hold.Deny:
+		text := fmt.Sprintf("deny %d number %d", a.To, a.Denial.Number)
+		if !a.Denial.Sure {
+			text += ", not sure"
+		}
+		return text
 	case hold.Forward:
 		return "forward"
 	case hold.Accepted:
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -231,6 +231,25 @@
 	return uint16(min(flows*ShareUnit/slots, 0xffff))
 }
 
+// LoadUnit is a full slot in reports of load and in the result of Busy.
+const LoadUnit = 64
+
+// Busy is what the endpoints of the service that take new flows have in hand on
+// average, in parts of their slots; 0 if there is none.
+func (r *Roster) Busy(now time.Time, id pact.ServiceID) uint16 {
+	load, slots := 0, 0
+	for _, s := range r.services[id] {
+		if s.Takes(now) && s.Proven {
+			load += int(s.Average)
+			slots += int(s.Slots)
+		}
+	}
+	if slots == 0 {
+		return 0
+	}
+	return uint16(min(load/slots, 0xffff))
+}
+
 // Silent tells whether the side process has missed its reports.
 func (s *Side) Silent(now time.Time) bool {
 	every := max(time.Duration(s.Every)*time.Millisecond, loadLeast)
