guide: confirm a denial after 50 ms

The second asking is for an owner that was just joining; that the last one to join is known to all is waited for before a search counts. Where somebody has not answered the interval stays 150 ms.

--- a/internal/relay/guide/guide.go
+++ b/internal/relay/guide/guide.go
@@ -31,9 +31,11 @@
 	// ownerKeep is how long an owner is kept after the flow's last packet. Flows
 	// idle for longer may be discarded.
 	ownerKeep = 30 * time.Second
-	// askAgainAfter is how long after every endpoint has denied a flow they are
-	// asked once more before it is reset: an owner that was missed because a
-	// datagram was lost, or that was just joining, is found by then.
+	// confirmAfter is how long after every endpoint has denied a flow they are asked
+	// once more before it is reset: an owner that was just joining is found by then.
+	// The caller is told soon enough to be served in time elsewhere.
+	confirmAfter = 50 * time.Millisecond
+	// askAgainAfter is the same where somebody has not answered.
 	askAgainAfter = 150 * time.Millisecond
 	// settledAfter is how long after its start a balancer takes what it knows of
 	// the members for complete if nobody told it who they are: two reports of a
--- a/internal/relay/guide/search.go
+++ b/internal/relay/guide/search.go
@@ -199,12 +199,14 @@
 			raw:    slices.Clone(raw),
 		}
 	}
+	wait := confirmAfter
 	switch {
 	case !sure:
+		wait = askAgainAfter
 		d.sureAt = time.Time{}
 	case d.sureAt.IsZero():
 		d.sureAt = now
-	case !now.Before(d.sureAt.Add(askAgainAfter)):
+	case !now.Before(d.sureAt.Add(confirmAfter)):
 		delete(g.flows, p.Key)
 		g.add(Reset{
 			Packet: p,
@@ -225,7 +227,7 @@
 	}
 	x.denied = d
 	d.tries++
-	d.due = now.Add(askAgainAfter)
+	d.due = now.Add(wait)
 	g.denials = append(g.denials, d)
 }
 
@@ -248,16 +250,19 @@
 
 // askAgain looks again for flows that were not found.
 func (g *Guide) askAgain(now time.Time) {
-	for len(g.denials) > 0 && !now.Before(g.denials[0].due) {
-		d := g.denials[0]
-		g.denials = g.denials[1:]
+	var due []*denial
+	g.denials = slices.DeleteFunc(g.denials, func(d *denial) bool {
+		if now.Before(d.due) {
+			return false
+		}
+		due = append(due, d)
+		return true
+	})
+	for _, d := range due {
 		if x, ok := g.flows[d.key]; ok && x.denied == d {
 			g.lookup(now, d.packet, d.raw, search{})
 		}
 	}
-	if len(g.denials) == 0 {
-		g.denials = nil
-	}
 }
 
 // denied takes a packet back from the endpoint that was believed to own its flow.
