--- a/internal/relay/agent/packets.go
+++ b/internal/relay/agent/packets.go
@@ -143,6 +143,12 @@
 			a.send(one.To, one.Owner)
 		case hold.Deny:
 			a.send(one.To, one.Denial)
+		case hold.Waits:
+			a.counts.held++
+			a.logWaits(one)
+		case hold.GivenUp:
+			a.counts.givenUp++
+			a.logGivenUp(one)
 		case hold.Accepted:
 			a.counts.accepted++
 			a.observe(TimeOpening, one.After)
--- a/internal/relay/agent/serve.go
+++ b/internal/relay/agent/serve.go
@@ -108,6 +108,22 @@
 		Msg("request given to endpoint")
 }
 
+func (a *Agent) logWaits(w hold.Waits) {
+	a.log.Routine.Info().
+		Str("flow", w.Key.String()).
+		Uint16("service_busy", w.Busy).
+		Int("in_use", a.hold.InUse()).
+		Msg("request waits for a slot")
+}
+
+func (a *Agent) logGivenUp(g hold.GivenUp) {
+	a.log.Trouble.Info().
+		Str("flow", g.Key.String()).
+		Int64("after_ms", g.After.Milliseconds()).
+		Int("in_use", a.hold.InUse()).
+		Msg("request given up by its caller; it has not run")
+}
+
 func (a *Agent) logChanged(c hold.Changed) {
 	a.log.Trouble.Info().
 		Str("state", c.State.String()).
--- a/internal/relay/agent/state.go
+++ b/internal/relay/agent/state.go
@@ -35,6 +35,8 @@
 	arrived       uint64
 	accepted      uint64
 	requests      uint64
+	held          uint64
+	givenUp       uint64
 	reports       uint64
 	probes        uint64
 	malformed     uint64
@@ -57,6 +59,8 @@
 		{Name: "packets_arrived", Value: c.arrived},
 		{Name: "openings_accepted", Value: c.accepted},
 		{Name: "requests", Value: c.requests},
+		{Name: "requests_held", Value: c.held},
+		{Name: "requests_given_up", Value: c.givenUp},
 		{Name: "endpoint_reports", Value: c.reports},
 		{Name: "endpoint_probes", Value: c.probes},
 		{Name: "malformed", Value: c.malformed},
--- a/internal/relay/entry/packets.go
+++ b/internal/relay/entry/packets.go
@@ -61,6 +61,7 @@
 			b.send(a.To, a.Carry)
 		case guide.Ask:
 			b.counts.asked += uint64(len(a.To))
+			b.logAsk(a)
 			for _, h := range a.To {
 				b.send(h, a.Ask)
 			}
--- a/internal/relay/entry/serve.go
+++ b/internal/relay/entry/serve.go
@@ -89,6 +89,14 @@
 		Msg("packet sent on")
 }
 
+func (b *Balancer) logAsk(a guide.Ask) {
+	b.log.Trouble.Info().
+		Str("flow", a.Ask.Key.String()).
+		Int("candidates", len(a.To)).
+		Bool("settled", a.Settled).
+		Msg("all asked for the owner")
+}
+
 func (b *Balancer) logEnd(what string, p link.Packet, why guide.Reason) {
 	b.log.Trouble.Info().
 		Str("flow", p.Key.String()).
--- a/internal/relay/hold/hold.go
+++ b/internal/relay/hold/hold.go
@@ -141,7 +141,7 @@
 func (Unreachable) event() {}
 func (Tick) event()        {}
 
-// Action is Deliver, HandOn, GiveBack, Tell, Deny, Forward, Accepted, Began, Served or
+// Action is Deliver, HandOn, GiveBack, Tell, Deny, Waits, GivenUp, Forward, Accepted, Began, Served or
 // Changed.
 type Action interface{ action() }
 
@@ -180,6 +180,20 @@
 	Denial frame.Denial
 }
 
+// Waits tells that a request on an open flow waits for a slot.
+type Waits struct {
+	Key link.Key
+	// Busy is how busy the service is, in 64ths of its slots.
+	Busy uint16
+}
+
+// GivenUp tells that a request waited until its caller sent no more copies. It has not
+// run.
+type GivenUp struct {
+	Key   link.Key
+	After time.Duration
+}
+
 // Forward sends a packet of the endpoint to its caller.
 type Forward struct {
 	Raw []byte
@@ -219,6 +233,8 @@
 func (GiveBack) action() {}
 func (Tell) action()     {}
 func (Deny) action()     {}
+func (Waits) action()    {}
+func (GivenUp) action()  {}
 func (Forward) action()  {}
 func (Accepted) action() {}
 func (Served) action()   {}
--- a/internal/relay/hold/request.go
+++ b/internal/relay/hold/request.go
@@ -70,6 +70,10 @@
 			until:  now.Add(f.aim - time.Duration(workMargin*float64(h.work))),
 		}
 		h.waiting[p.Key] = w
+		h.add(Waits{
+			Key:  p.Key,
+			Busy: c.Busy,
+		})
 	}
 	switch {
 	case p.IsReset():
--- a/internal/relay/hold/script_test.go
+++ b/internal/relay/hold/script_test.go
@@ -248,6 +248,10 @@
 			text += ", not sure"
 		}
 		return text
+	case hold.Waits:
+		return fmt.Sprintf("waits %d", a.Key.CallerPort)
+	case hold.GivenUp:
+		return fmt.Sprintf("given up %d", a.Key.CallerPort)
 	case hold.Forward:
 		return "forward"
 	case hold.Accepted:
--- a/internal/relay/hold/wait.go
+++ b/internal/relay/hold/wait.go
@@ -153,7 +153,12 @@
 		delete(h.waiting, key)
 		if w.flow == nil {
 			h.giveBack(w.packet, w.carry, WaitedLong, true)
+			continue
 		}
+		h.add(GivenUp{
+			Key:   key,
+			After: now.Sub(w.since),
+		})
 	}
 }
 
