--- a/internal/relay/fault/matrix_test.go
+++ b/internal/relay/fault/matrix_test.go
@@ -20,7 +20,7 @@
 	// few and many are endpoints of another service: with few of them an owner is
 	// looked for from one to the next, with many by asking all at once.
 	few  = 1
-	many = 20
+	many = 64
 )
 
 var _ = Describe("a flow", func() {
--- a/internal/relay/fault/world_test.go
+++ b/internal/relay/fault/world_test.go
@@ -23,6 +23,8 @@
 
 	balancers = 3
 	sides     = 4
+	// firstBalancer is the host of the first balancer; side processes have lower ones.
+	firstBalancer = frame.Host(1000)
 
 	hop         = time.Millisecond
 	reportEvery = 250 * time.Millisecond
@@ -99,7 +101,7 @@
 	for i := range balancers {
 		b := &balancer{
 			world: w,
-			host:  frame.Host(100 + i),
+			host:  firstBalancer + frame.Host(i),
 		}
 		w.balancers = append(w.balancers, b)
 		b.start()
@@ -270,7 +272,7 @@
 	})
 }
 
-func (w *world) balancerAt(h frame.Host) *balancer { return w.balancers[h-100] }
+func (w *world) balancerAt(h frame.Host) *balancer { return w.balancers[h-firstBalancer] }
 
 func (s *side) start() {
 	s.process++
@@ -392,7 +394,7 @@
 }
 
 func (w *world) told(a hold.Tell) {
-	if a.To >= 100 {
+	if a.To >= firstBalancer {
 		w.datagram(func() {
 			w.balancerAt(a.To).step(guide.Hint{
 				Owner: a.Owner,
--- a/internal/relay/guide/guide.go
+++ b/internal/relay/guide/guide.go
@@ -353,7 +353,7 @@
 
 func (g *Guide) tick(now time.Time) {
 	g.askAgain(now)
-	g.expireInquiries(now)
+	g.watchInquiries(now)
 	kept := g.waiting[:0]
 	for _, o := range g.waiting {
 		x, ok := g.flows[o.key]
--- a/internal/relay/guide/inquire.go
+++ b/internal/relay/guide/inquire.go
@@ -11,17 +11,20 @@
 // Where many endpoints may own a flow, its packet is not handed from one to the next:
 // that takes as many hops and carries the packet as often. The home is asked first; if
 // it does not know the owner, every endpoint is asked at once by a message without the
-// packet. Only those that cannot tell without it are then handed the packet.
+// packet. Only those that cannot tell without it are then handed the packet, in short
+// lists at the same time.
 const (
 	// mostWalked is up to how many candidates a packet is handed from one to the next.
-	mostWalked = 16
+	mostWalked = frame.MaxList
 	// homeWithin is how long the home may take to send the packet on to the owner or
 	// back, and inquiryWithin how long the answers of all are waited for: several
 	// round trips between failure domains, and a wait in a busy side process.
-	homeWithin    = 40 * time.Millisecond
+	homeWithin    = 20 * time.Millisecond
 	inquiryWithin = 100 * time.Millisecond
-	// handWithin is what one candidate may take that is handed the packet.
-	handWithin = 6 * time.Millisecond
+	// mostHanded is how many candidates one list has that is handed the packet, and
+	// handWithin what each may take.
+	mostHanded = 8
+	handWithin = 10 * time.Millisecond
 	// mostKept bounds the packets of a flow kept during an inquiry; the caller sends
 	// the others again.
 	mostKept = 8
@@ -35,6 +38,9 @@
 	legHome
 	// legUnsure: those that could not tell without the packet.
 	legUnsure
+	// legMore: the same, for further packets of the flow. What comes back of them says
+	// nothing new.
+	legMore
 )
 
 // Ask asks side processes for the owner of a flow.
@@ -58,32 +64,45 @@
 type inquiry struct {
 	number uint32
 	key    link.Key
-	// leg is legHome while the home has the packet, legUnsure while it is handed to
-	// those that could not tell, and legWalk while everybody is asked.
-	leg uint8
+	// atHome tells that the home has the packet and nobody else has been asked yet.
+	atHome bool
 	// kept are packets of the flow, the first the one that is searched for.
 	kept []Packet
-	// open are those whose answers are awaited and unsure those that could not tell.
+	// open are those whose answers are awaited, unsure those that could not tell and
+	// handed those that were given the packet since; lists counts the lists of these
+	// that have not come back.
 	open   []frame.Host
 	unsure []frame.Host
+	handed []frame.Host
+	lists  int
 	// settled tells that everybody who may own the flow is asked.
 	settled bool
 	// due is when no more answers are waited for.
 	due time.Time
 }
 
-// keep adds a packet that comes during the inquiry. Copies are left out.
-func (q *inquiry) keep(p link.Packet, raw []byte) {
+// keep adds a packet that comes during the inquiry, and tells whether it is not a copy
+// of one that is kept.
+func (q *inquiry) keep(p link.Packet, raw []byte) bool {
 	isCopy := slices.ContainsFunc(q.kept, func(o Packet) bool {
 		return o.Sequence == p.Sequence && o.Acknowledgment == p.Acknowledgment && o.Payload == p.Payload && o.Flags == p.Flags
 	})
 	if isCopy || len(q.kept) >= mostKept {
-		return
+		return false
 	}
 	q.kept = append(q.kept, Packet{
 		Packet: p,
 		Raw:    slices.Clone(raw),
 	})
+	return true
+}
+
+// join takes a packet of a flow whose owner is being looked for. An endpoint may need
+// all packets of a request before it says anything.
+func (g *Guide) join(now time.Time, q *inquiry, p link.Packet, raw []byte) {
+	if q.keep(p, raw) {
+		g.handLists(now, q, legMore, q.handed, &q.kept[len(q.kept)-1])
+	}
 }
 
 // inquire looks for an owner among many: at the home of the flow, if that is the first
@@ -110,38 +129,51 @@
 		g.askAll(now, q, list, settled)
 		return
 	}
-	q.leg = legHome
+	q.atHome = true
 	q.due = now.Add(homeWithin)
-	g.hand(now, q, list[:1], 0)
+	g.hand(now, legHome, list[:1], 0, &q.kept[0])
 }
 
-// hand gives the first packet to candidates, one after the other.
-func (g *Guide) hand(now time.Time, q *inquiry, list []frame.Host, flags uint8) {
-	aim, urgency := g.routeOf(q.key)
+// hand gives a packet to candidates, one after the other.
+func (g *Guide) hand(now time.Time, leg uint8, list []frame.Host, flags uint8, p *Packet) {
+	aim, urgency := g.routeOf(p.Key)
 	g.add(Send{
 		To:   list[0],
-		Key:  q.key,
-		Kind: q.kept[0].Kind,
+		Key:  p.Key,
+		Kind: p.Kind,
 		Why:  Lookup,
 		Carry: &frame.Carry{
 			Flags:    flags,
 			Best:     frame.NoBest,
-			Leg:      q.leg,
+			Leg:      leg,
 			Aim:      aim,
 			Urgency:  urgency,
 			Balancer: g.self,
-			Home:     g.home(now, q.key),
+			Home:     g.home(now, p.Key),
 			List:     list,
-			Packet:   q.kept[0].Raw,
+			Packet:   p.Raw,
 		},
 	})
 }
 
+// handLists gives a packet to candidates in short lists, and tells how many.
+func (g *Guide) handLists(now time.Time, q *inquiry, leg uint8, hosts []frame.Host, p *Packet) (lists int) {
+	flags := uint8(frame.Unsure)
+	if q.settled {
+		flags = frame.Settled
+	}
+	for list := range slices.Chunk(hosts, mostHanded) {
+		lists++
+		g.hand(now, leg, slices.Clone(list), flags, p)
+	}
+	return lists
+}
+
 // askAll asks all candidates at once.
 func (g *Guide) askAll(now time.Time, q *inquiry, list []frame.Host, settled bool) {
 	g.inquiries++
 	q.number = g.inquiries
-	q.leg = legWalk
+	q.atHome = false
 	q.open = list
 	q.settled = settled
 	q.due = now.Add(inquiryWithin)
@@ -193,47 +225,51 @@
 		q.unsure = append(q.unsure, d.Host)
 	}
 	if len(q.open) == 0 {
-		g.conclude(now, x)
+		g.advance(now, x)
 	}
 }
 
-// conclude ends an inquiry that found no owner. Those that could not tell are handed
-// the packet; if there are none, the flow has no owner, as far as everybody answered.
-func (g *Guide) conclude(now time.Time, x *entry) {
+// advance hands the packet to those that could not tell. If there are none and nobody's
+// answer is awaited, the flow has no owner, as far as everybody answered.
+func (g *Guide) advance(now time.Time, x *entry) {
 	q := x.inquiry
-	first := q.kept[0]
-	silent := len(q.open) > 0
-	if len(q.unsure) == 0 {
-		x.inquiry = nil
-		g.unowned(now, x, first.Packet, first.Raw, q.settled && !silent)
+	if len(q.unsure) > 0 {
+		g.handUnsure(now, q)
 		return
 	}
-	list := q.unsure[:min(len(q.unsure), frame.MaxList)]
-	q.unsure = q.unsure[len(list):]
-	q.open = nil
-	q.leg = legUnsure
-	q.due = now.Add(inquiryWithin + time.Duration(len(list))*handWithin)
-	q.settled = q.settled && !silent
-	if q.settled {
-		g.hand(now, q, list, frame.Settled)
+	if len(q.open) > 0 || q.lists > 0 {
 		return
 	}
-	g.hand(now, q, list, frame.Unsure)
+	x.inquiry = nil
+	first := q.kept[0]
+	g.unowned(now, x, first.Packet, first.Raw, q.settled)
+}
+
+func (g *Guide) handUnsure(now time.Time, q *inquiry) {
+	q.lists += g.handLists(now, q, legUnsure, q.unsure, &q.kept[0])
+	for i := range q.kept[1:] {
+		g.handLists(now, q, legMore, q.unsure, &q.kept[1+i])
+	}
+	q.handed = append(q.handed, q.unsure...)
+	q.unsure = nil
+	q.due = now.Add(inquiryWithin + mostHanded*handWithin)
 }
 
 // handedBack takes back a packet of an inquiry whose candidates did not own its flow.
 // One that comes later than the inquiry waited for it changes nothing.
 func (g *Guide) handedBack(now time.Time, x *entry, e Return) {
-	if x == nil || x.inquiry == nil || x.inquiry.leg != e.Leg {
+	if x == nil || x.inquiry == nil || e.Leg == legMore || x.inquiry.atHome != (e.Leg == legHome) {
 		return
 	}
 	q := x.inquiry
-	if e.Leg == legHome {
+	switch {
+	case q.atHome:
 		g.askOthers(now, x)
-		return
+	case q.lists > 0:
+		q.lists--
+		q.settled = q.settled && e.Sure
+		g.advance(now, x)
 	}
-	q.settled = q.settled && e.Sure
-	g.conclude(now, x)
 }
 
 // deliverKept sends the packets that came during an inquiry to the owner that it found.
@@ -244,8 +280,12 @@
 		return
 	}
 	kept := q.kept
-	if q.leg != legWalk {
-		// The first packet has found the owner by itself.
+	switch {
+	case slices.Contains(q.handed, x.owners[0].host):
+		// It has been handed all of them.
+		return
+	case q.atHome:
+		// The home has sent the first one to the owner.
 		kept = kept[1:]
 	}
 	for _, p := range kept {
@@ -255,33 +295,27 @@
 	}
 }
 
-// expireInquiries ends the inquiries whose answers are overdue.
-func (g *Guide) expireInquiries(now time.Time) {
-	kept := g.inquiring[:0]
-	var due []*inquiry
-	for _, q := range g.inquiring {
+// watchInquiries goes on with the inquiries under way: the packet is handed to those that
+// could not tell without waiting for everybody's answer, and nobody is waited for that is
+// overdue.
+func (g *Guide) watchInquiries(now time.Time) {
+	watched := g.inquiring
+	g.inquiring = nil
+	for _, q := range watched {
 		x, ok := g.flows[q.key]
-		switch {
-		case !ok || x.inquiry != q:
-		case now.Before(q.due):
-			kept = append(kept, q)
-		default:
-			due = append(due, q)
+		if !ok || x.inquiry != q {
+			continue
 		}
-	}
-	clear(g.inquiring[len(kept):])
-	g.inquiring = kept
-	for _, q := range due {
-		x := g.flows[q.key]
-		switch q.leg {
-		case legHome:
+		switch overdue := !now.Before(q.due); {
+		case overdue && q.atHome:
 			g.askOthers(now, x)
-		case legUnsure:
-			// The packet is lost, or waits for an endpoint that does not answer.
-			q.settled = false
-			g.conclude(now, x)
-		default:
-			g.conclude(now, x)
+		case overdue:
+			q.settled = q.settled && len(q.open) == 0 && q.lists == 0
+			q.open = nil
+			q.lists = 0
+			g.advance(now, x)
+		case len(q.unsure) > 0:
+			g.advance(now, x)
 		}
 		if x.inquiry == q {
 			g.inquiring = append(g.inquiring, q)
--- a/internal/relay/guide/search.go
+++ b/internal/relay/guide/search.go
@@ -45,7 +45,7 @@
 		return
 	}
 	if x := g.flows[p.Key]; x != nil && x.inquiry != nil {
-		x.inquiry.keep(p, raw)
+		g.join(now, x.inquiry, p, raw)
 		return
 	}
 	list, settled := g.ownersOf(now, p.Key, route)
--- a/internal/relay/hold/arrive.go
+++ b/internal/relay/hold/arrive.go
@@ -258,6 +258,13 @@
 		h.notHere(p, c, UnknownFlow)
 		return
 	}
+	if len(h.asking) < mostElsewhere {
+		h.asking[p.Key] = asker{
+			balancer: c.Balancer,
+			home:     c.Home,
+			keep:     now.Add(requestMost),
+		}
+	}
 	h.give(now, p, c, askWhose)
 }
 
@@ -357,6 +364,7 @@
 		h.use(f, phaseIdle)
 		delete(h.flows, b.Packet.Key)
 	}
+	delete(h.asking, b.Packet.Key)
 	h.notHere(b.Packet, c, EndpointDenied)
 }
 
@@ -373,6 +381,7 @@
 		}
 		m.ask = 0
 		m.carry.Packet = m.raw
+		delete(h.asking, p.Key)
 		h.notHere(m.packet, m.carry, EndpointDenied)
 		return true
 	}
--- a/internal/relay/hold/flow.go
+++ b/internal/relay/hold/flow.go
@@ -34,6 +34,8 @@
 	highest uint32
 	known   bool
 	queued  bool
+	// adopted tells that the flow was opened before this process started.
+	adopted bool
 	// confirmed tells that the caller has acknowledged the endpoint's answer.
 	confirmed bool
 	// sent is the end of what the caller has sent, from where sentKnown.
@@ -80,8 +82,17 @@
 	return f.hasSent(p.Acknowledgment)
 }
 
-// hasSent tells whether the endpoint has sent what a caller acknowledges.
+// adoptedWindow is how far from what this process has seen of an adopted flow its
+// caller's acknowledgments may lie: more than is ever on its way.
+const adoptedWindow = 1 << 24
+
+// hasSent tells whether the endpoint has sent what a caller acknowledges. Of an adopted
+// flow some packets passed before this process started: the caller may wait for one of
+// them, or have got more than has been seen here.
 func (f *flow) hasSent(acknowledgment uint32) bool {
+	if f.adopted {
+		return acknowledgment-f.initial+adoptedWindow <= f.highest-f.initial+2*adoptedWindow
+	}
 	return acknowledgment-f.initial <= f.highest-f.initial
 }
 
@@ -168,6 +179,7 @@
 		f.known = true
 		f.initial = p.Sequence - 1
 		f.highest = p.Sequence
+		h.tellAsker(f, p.Key)
 	}
 	if end := p.Sequence + p.Length(); end-f.initial > f.highest-f.initial && end-f.initial < 1<<31 {
 		f.highest = end
@@ -190,13 +202,27 @@
 	}
 }
 
+// tellAsker tells whoever looked for the owner of a flow that its endpoint has answered
+// a packet of.
+func (h *Hold) tellAsker(f *flow, key link.Key) {
+	a, ok := h.asking[key]
+	if !ok {
+		return
+	}
+	delete(h.asking, key)
+	f.balancer = a.balancer
+	f.home = a.home
+	h.tell(f, key)
+}
+
 // adopt takes up a flow that the endpoint holds from before this process.
 func (h *Hold) adopt(now time.Time, p link.Packet) *flow {
 	if p.IsReset() || p.Flags&flagSyn != 0 || len(h.flows) >= mostFlows {
 		return nil
 	}
 	f := &flow{
-		since: now,
+		since:   now,
+		adopted: true,
 	}
 	h.flows[p.Key] = f
 	return f
--- a/internal/relay/hold/hold.go
+++ b/internal/relay/hold/hold.go
@@ -250,6 +250,8 @@
 	flows    map[link.Key]*flow
 	// elsewhere holds owners of flows that are looked for here first.
 	elsewhere map[link.Key]place
+	// asking holds who asked whose a flow is that its endpoint was given a packet of.
+	asking map[link.Key]asker
 	// waiting are openings that wait for a free slot.
 	waiting map[link.Key]*waiter
 	// share is what openings that wait have of the next finished request.
@@ -278,6 +280,14 @@
 	keep  time.Time
 }
 
+// asker is who is told that a flow is the endpoint's, should the endpoint answer a
+// packet of it.
+type asker struct {
+	balancer frame.Host
+	home     frame.Host
+	keep     time.Time
+}
+
 // Option sets one property of a Hold.
 type Option func(*Hold)
 
@@ -304,6 +314,7 @@
 		service:   pact.Identify(service),
 		flows:     map[link.Key]*flow{},
 		elsewhere: map[link.Key]place{},
+		asking:    map[link.Key]asker{},
 		waiting:   map[link.Key]*waiter{},
 		work:      firstWork,
 	}
@@ -437,6 +448,11 @@
 			h.use(f, phaseIdle)
 		}
 	}
+	for k, a := range h.asking {
+		if now.After(a.keep) {
+			delete(h.asking, k)
+		}
+	}
 	for k, p := range h.elsewhere {
 		if now.After(p.keep) {
 			delete(h.elsewhere, k)
