--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -56,19 +56,6 @@
 	aliveDelay  = 300 * time.Millisecond
 )
 
-// Side is one side process and its endpoint.
-type Side struct {
-	frame.Load
-	HeardAt   time.Time
-	ColdUntil time.Time
-	// Sent counts openings handed to it since its last report.
-	Sent int
-	// Doubts counts openings that it left unanswered since it was last heard.
-	Doubts int
-	// joinedAt is when it was first heard, or first heard of its service.
-	joinedAt time.Time
-}
-
 // Balancer is another balancer.
 type Balancer struct {
 	frame.Pulse
@@ -250,17 +237,6 @@
 	return uint16(min(load/slots, 0xffff))
 }
 
-// Silent tells whether the side process has missed its reports.
-func (s *Side) Silent(now time.Time) bool {
-	every := max(time.Duration(s.Every)*time.Millisecond, loadLeast)
-	return now.After(s.HeardAt.Add(silentReports*every + silentDelay))
-}
-
-// Takes tells whether the endpoint may be given new flows.
-func (s *Side) Takes(now time.Time) bool {
-	return s.State == node.Serving && !s.Silent(now)
-}
-
 // Sides gives the hosts of the side processes whose endpoints may hold flows.
 func (r *Roster) Sides() (list []frame.Host) {
 	for h, s := range r.sides {
@@ -348,22 +324,6 @@
 	return float64(heard) < isolatedShare*float64(known) || heard == 0
 }
 
-// absent tells whether a side process has been silent for so long that it is not
-// expected back. One whose endpoint has refused openings without ever reporting
-// is not waited for: its machine has been taken away.
-func (s *Side) absent(now time.Time) bool {
-	if s.Refuses {
-		return s.Silent(now)
-	}
-	return now.After(s.HeardAt.Add(absentAfter))
-}
-
-// MayOwn tells whether flows may be found at the endpoint. While the balancer is
-// isolated nobody is ruled out for silence.
-func (s *Side) MayOwn(now time.Time, isolated bool) bool {
-	return s.State != node.Gone && (isolated || !s.absent(now))
-}
-
 // Complete tells whether every side process that others know has been heard here,
 // and long enough ago that the last one to join is known to all.
 func (r *Roster) Complete(now time.Time) bool {
