guide: a list of an earlier inquiry that comes back late counts for nothing

Found by reading: a list that a paused side process let go of late was counted as one of the next inquiry's, whose own list may have reached the owner. Two of those could end a flow that lives. The leg that comes back names the inquiry now.

--- a/internal/relay/guide/inquire.go
+++ b/internal/relay/guide/inquire.go
@@ -36,13 +36,17 @@
 	legWalk = iota
 	// legHome: the home of the flow alone.
 	legHome
-	// legUnsure: those that could not tell without the packet.
-	legUnsure
-	// legMore: the same, for further packets of the flow. What comes back of them says
-	// nothing new.
+	// legMore: those that could not tell are handed a further packet of the flow. What
+	// comes back of it says nothing new.
 	legMore
+	// legUnsure: those that could not tell are handed the packet. This and the legs up
+	// to legCount tell one inquiry from the next, of which a late Return may be.
+	legUnsure
 )
 
+// legCount is how many legs there are.
+const legCount = 250
+
 // Ask asks side processes for the owner of a flow.
 type Ask struct {
 	To  []frame.Host
@@ -81,6 +85,11 @@
 	due time.Time
 }
 
+// leg is that of the lists which are handed the packet.
+func (q *inquiry) leg() uint8 {
+	return legUnsure + uint8(q.number%(legCount-legUnsure))
+}
+
 // keep adds a packet that comes during the inquiry, and tells whether it is not a copy
 // of one that is kept.
 func (q *inquiry) keep(p link.Packet, raw []byte) bool {
@@ -246,7 +255,7 @@
 }
 
 func (g *Guide) handUnsure(now time.Time, q *inquiry) {
-	q.lists += g.handLists(now, q, legUnsure, q.unsure, &q.kept[0])
+	q.lists += g.handLists(now, q, q.leg(), q.unsure, &q.kept[0])
 	for i := range q.kept[1:] {
 		g.handLists(now, q, legMore, q.unsure, &q.kept[1+i])
 	}
@@ -258,14 +267,14 @@
 // handedBack takes back a packet of an inquiry whose candidates did not own its flow.
 // One that comes later than the inquiry waited for it changes nothing.
 func (g *Guide) handedBack(now time.Time, x *entry, e Return) {
-	if x == nil || x.inquiry == nil || e.Leg == legMore || x.inquiry.atHome != (e.Leg == legHome) {
+	if x == nil || x.inquiry == nil {
 		return
 	}
 	q := x.inquiry
 	switch {
-	case q.atHome:
+	case q.atHome && e.Leg == legHome:
 		g.askOthers(now, x)
-	case q.lists > 0:
+	case !q.atHome && e.Leg == q.leg() && q.lists > 0:
 		q.lists--
 		q.settled = q.settled && e.Sure
 		g.advance(now, x)
