--- a/internal/relay/hold/request.go
+++ b/internal/relay/hold/request.go
@@ -1,6 +1,7 @@
 package hold
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -44,13 +45,11 @@
 // that leaves gets all there are.
 func (h *Hold) requestRoom() int {
 	if s := h.endpoint.state(); s == node.Draining || s == node.Gone {
-		return maxInt
+		return math.MaxInt
 	}
 	return max(requestsOver*int(h.endpoint.slots), h.room()+1)
 }
 
-const maxInt = int(^uint(0) >> 1)
-
 // holdBack keeps a caller's packet of an open flow if its request has to wait, and
 // tells whether it does.
 func (h *Hold) holdBack(now time.Time, f *flow, p link.Packet, c *frame.Carry) bool {
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -205,17 +206,23 @@
 // FlowShare is how many open flows a slot of the service holds on average, over
 // the endpoints that take new ones; 0 if there is none.
 func (r *Roster) FlowShare(now time.Time, id pact.ServiceID) uint16 {
-	flows, slots := 0, 0
+	return r.perSlot(now, id, func(s *Side) int { return int(s.Flows) * ShareUnit })
+}
+
+// perSlot sums a figure over the endpoints of a service that take new flows, and divides
+// it by their slots; 0 if there is none.
+func (r *Roster) perSlot(now time.Time, id pact.ServiceID, figure func(s *Side) int) uint16 {
+	sum, slots := 0, 0
 	for _, s := range r.services[id] {
 		if s.Takes(now) && s.Proven {
-			flows += int(s.Flows)
+			sum += figure(s)
 			slots += int(s.Slots)
 		}
 	}
 	if slots == 0 {
 		return 0
 	}
-	return uint16(min(flows*ShareUnit/slots, 0xffff))
+	return uint16(min(sum/slots, math.MaxUint16))
 }
 
 // LoadUnit is a full slot in reports of load and in the result of Busy.
@@ -224,17 +231,7 @@
 // Busy is what the endpoints of the service that take new flows have in hand on
 // average, in parts of their slots; 0 if there is none.
 func (r *Roster) Busy(now time.Time, id pact.ServiceID) uint16 {
-	load, slots := 0, 0
-	for _, s := range r.services[id] {
-		if s.Takes(now) && s.Proven {
-			load += int(s.Average)
-			slots += int(s.Slots)
-		}
-	}
-	if slots == 0 {
-		return 0
-	}
-	return uint16(min(load/slots, 0xffff))
+	return r.perSlot(now, id, func(s *Side) int { return int(s.Average) })
 }
 
 // Sides gives the hosts of the side processes whose endpoints may hold flows.
