entry: log the store's position, restores and plans that are not taken

The logs could not tell whether a balancer notices no change after the store came back from an older copy, or reads the new plan and drops it. The adapter now decodes the era of an answer; polls log a position that went back, and a plan that is read and not put in force leaves a line and a counter. No decision has changed.

--- a/internal/relay/entry/entry.go
+++ b/internal/relay/entry/entry.go
@@ -62,6 +62,7 @@
 	router       *router.Router
 	members      *roster.Roster
 	pollSchedule plan.PollSchedule
+	position     plan.Tracker
 	// seenRevision is the store revision at which the plan was last read.
 	seenRevision uint64
 	// writtenDigest is the digest of the present agents in the last member record.
--- a/internal/relay/entry/state.go
+++ b/internal/relay/entry/state.go
@@ -35,6 +35,8 @@
 	ownerQueries  uint64
 	storeCalls    uint64
 	storeFailures uint64
+	storeRestores uint64
+	plansIgnored  uint64
 	forwarded     [maxReasons]uint64
 	rejected      [maxReasons]uint64
 	resets        [maxReasons]uint64
@@ -56,6 +58,8 @@
 		{Name: "owner_questions", Value: c.ownerQueries},
 		{Name: "store_calls", Value: c.storeCalls},
 		{Name: "store_failures", Value: c.storeFailures},
+		{Name: "store_restores", Value: c.storeRestores},
+		{Name: "plans_ignored", Value: c.plansIgnored},
 		{Name: "log_lines_dropped", Value: b.log.Dropped()},
 	}
 	for _, r := range router.Reasons() {
@@ -72,6 +76,8 @@
 		{Name: "balancers", Value: float64(len(b.members.Balancers()))},
 		{Name: "plan_version", Value: float64(b.planVersion())},
 		{Name: "store_answer_age_seconds", Value: b.storeAge().Seconds()},
+		{Name: "store_era", Value: float64(b.position.Last().Era)},
+		{Name: "store_revision", Value: float64(b.position.Last().Revision)},
 	}
 	return s
 }
--- a/internal/relay/entry/store.go
+++ b/internal/relay/entry/store.go
@@ -90,7 +90,7 @@
 	present := false
 	b.mutex.Lock()
 	b.pollSchedule.RecordPoll(start)
-	b.seenRevision = max(b.seenRevision, c.Revision)
+	b.seenRevision = max(b.seenRevision, c.Position.Revision)
 	heartbeat := b.newHeartbeat(start, true)
 	for _, h := range c.Balancers {
 		present = present || h == b.self
@@ -109,7 +109,8 @@
 	b.log.Important.Info().
 		Int("balancers", len(c.Balancers)).
 		Int("side_processes", len(c.Members.Present)).
-		Uint64("store_revision", c.Revision).
+		Uint64("store_era", c.Position.Era).
+		Uint64("store_revision", c.Position.Revision).
 		Int64("after_ms", time.Since(b.startedAt).Milliseconds()).
 		Msg("store read")
 	for _, err := range c.Unreadable {
@@ -256,35 +257,58 @@
 func (b *Balancer) pollStoreOnce(ctx context.Context) (err error) {
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	revision, err := b.store.Revision(call)
+	position, err := b.store.Position(call)
 	if err != nil {
 		return err
 	}
+	b.observePosition(position)
 	b.mutex.Lock()
-	changed := revision > b.seenRevision || b.activePlan.Current() == nil
+	changed := position.Revision > b.seenRevision || b.activePlan.Current() == nil
 	b.mutex.Unlock()
 	if changed {
 		p, err := b.store.Plan(call)
 		switch {
 		case errors.Is(err, port.ErrNotFound):
 			// The store is available, but operators have not written a plan yet.
-			b.log.Routine.Info().Uint64("store_revision", revision).Msg("store holds no plan yet")
+			b.log.Routine.Info().Uint64("store_revision", position.Revision).Msg("store holds no plan yet")
 			return nil
 		case err != nil:
 			return err
 		}
 		b.adoptPlan(p, "store")
 		b.mutex.Lock()
-		b.seenRevision = max(b.seenRevision, revision)
+		b.seenRevision = max(b.seenRevision, position.Revision)
 		b.mutex.Unlock()
 	}
 	return nil
 }
 
+// observePosition records the store's position in the answer to a poll and logs if the
+// store has come back from an older copy.
+func (b *Balancer) observePosition(p plan.Position) {
+	b.mutex.Lock()
+	previous := b.position.Last()
+	restored := b.position.Observe(p)
+	if restored {
+		b.counts.storeRestores++
+	}
+	b.mutex.Unlock()
+	if !restored {
+		return
+	}
+	b.log.Important.Warn().
+		Uint64("store_era", p.Era).
+		Uint64("store_revision", p.Revision).
+		Uint64("previous_era", previous.Era).
+		Uint64("previous_revision", previous.Revision).
+		Msg("store restored from an older copy")
+}
+
 // adoptPlan puts a plan in force, if it is newer, and announces it to the other balancers
 // immediately.
 func (b *Balancer) adoptPlan(p *plan.Plan, from string) {
 	if !b.activePlan.Adopt(p) {
+		b.recordIgnoredPlan(p, from)
 		return
 	}
 	b.log.Important.Info().
@@ -300,6 +324,25 @@
 	b.sendHeartbeats(now)
 }
 
+// recordIgnoredPlan counts and logs a plan that was not put in force, unless it is the one
+// in force.
+func (b *Balancer) recordIgnoredPlan(p *plan.Plan, from string) {
+	active := b.activePlan.Current()
+	if p.Version == active.Version {
+		return
+	}
+	b.mutex.Lock()
+	b.counts.plansIgnored++
+	b.mutex.Unlock()
+	b.log.Important.Warn().
+		Uint64("plan_version", p.Version).
+		Uint64("plan_revision", p.Revision).
+		Uint64("active_version", active.Version).
+		Uint64("active_revision", active.Revision).
+		Str("from", from).
+		Msg("plan not put in force")
+}
+
 // fetchPlan reads a plan that another balancer has in force, first from the store and
 // otherwise from a balancer. A plan may have several hundred kilobytes: the store's link
 // can serve all balancers at once, but a balancer's link would be blocked for seconds.
--- a/internal/relay/port/port.go
+++ b/internal/relay/port/port.go
@@ -58,8 +58,8 @@
 	Members Members
 	// Unreadable holds an error for each item that was skipped.
 	Unreadable []error
-	// Revision is the store's revision. It increases with each change of any item.
-	Revision uint64
+	// Position is that of the store before the items were read.
+	Position plan.Position
 }
 
 // Members is the member record: the agents of the fleet.
@@ -75,8 +75,8 @@
 type Store interface {
 	// Contents reads the plan, the balancer directory and the members.
 	Contents(ctx context.Context) (Contents, error)
-	// Revision reads the store's current revision.
-	Revision(ctx context.Context) (uint64, error)
+	// Position reads the store's current position.
+	Position(ctx context.Context) (plan.Position, error)
 	// Plan reads the plan.
 	Plan(ctx context.Context) (*plan.Plan, error)
 	// Balancers reads the balancer directory.
