plan: order plans by their version and read them at any new position of the store

Callers saw: after the store came back from an older copy, a change that the operators had confirmed was not in force; a dropped route was served and an added one was not, until the process ended or the store's revision had passed all earlier ones twice over.

Cause: the store's revision was used as the order of plans. A balancer read the plan only when the revision was above the highest seen, took it only when the plan's own revision was above that of the plan in force, and told others its revision. A store that comes back from a copy gives revisions out again, so all three compared numbers of two histories.

Change: versions, which the operators raise, order plans. The plan is read whenever the store's position (era and revision) is another than at the last read. Heartbeats carry the version; those of earlier releases, without it, are followed by revision as before. Request lines give plan_version, since a revision no longer names one plan.

Ruled out: balancers that do not poll after the outage (polls succeed within 1.1 s).

--- a/internal/relay/entry/entry.go
+++ b/internal/relay/entry/entry.go
@@ -63,8 +63,6 @@
 	members      *roster.Roster
 	pollSchedule plan.PollSchedule
 	position     plan.Tracker
-	// seenRevision is the store revision at which the plan was last read.
-	seenRevision uint64
 	// writtenDigest is the digest of the present agents in the last member record.
 	writtenDigest uint64
 	nextWriteAt   time.Time
--- a/internal/relay/entry/packets.go
+++ b/internal/relay/entry/packets.go
@@ -193,9 +193,13 @@
 		})
 		b.send(p.Host, b.newHeartbeat(now, false))
 	}
-	if p.Revision > b.activePlan.Revision() && !b.fetchingPlan {
+	newer := p.PlanVersion > b.activePlan.Version()
+	if p.PlanVersion == 0 {
+		newer = p.Revision > b.activePlan.Revision()
+	}
+	if newer && !b.fetchingPlan {
 		b.fetchingPlan = true
-		go b.fetchPlan(ctx, p.Revision)
+		go b.fetchPlan(ctx, p.PlanVersion)
 	}
 }
 
@@ -223,6 +227,7 @@
 	return frame.Heartbeat{
 		Host:         b.self,
 		Process:      b.process,
+		PlanVersion:  b.activePlan.Version(),
 		Revision:     b.activePlan.Revision(),
 		StoreAgeMS:   age,
 		Leaving:      b.leaving,
--- a/internal/relay/entry/serve.go
+++ b/internal/relay/entry/serve.go
@@ -86,7 +86,7 @@
 		Str("to", a.To.String()).
 		Int("candidates", len(a.Forward.Candidates)).
 		Bool("settled", a.Forward.Flags&frame.ListComplete != 0).
-		Uint64("plan_revision", b.activePlan.Revision()).
+		Uint64("plan_version", b.activePlan.Version()).
 		Msg("packet sent on")
 }
 
@@ -104,7 +104,7 @@
 		Str("why", why.String()).
 		Uint32("sequence", p.Sequence).
 		Int("bytes", p.Payload).
-		Uint64("plan_revision", b.activePlan.Revision()).
+		Uint64("plan_version", b.activePlan.Version()).
 		Int("side_processes", len(b.members.PresentAgents())).
 		Msg(message)
 }
--- a/internal/relay/entry/state.go
+++ b/internal/relay/entry/state.go
@@ -35,7 +35,6 @@
 	ownerQueries  uint64
 	storeCalls    uint64
 	storeFailures uint64
-	storeRestores uint64
 	plansIgnored  uint64
 	forwarded     [maxReasons]uint64
 	rejected      [maxReasons]uint64
@@ -58,7 +57,7 @@
 		{Name: "owner_questions", Value: c.ownerQueries},
 		{Name: "store_calls", Value: c.storeCalls},
 		{Name: "store_failures", Value: c.storeFailures},
-		{Name: "store_restores", Value: c.storeRestores},
+		{Name: "store_restores", Value: b.position.Restores()},
 		{Name: "plans_ignored", Value: c.plansIgnored},
 		{Name: "log_lines_dropped", Value: b.log.Dropped()},
 	}
@@ -74,21 +73,14 @@
 		{Name: "flows", Value: float64(b.router.Flows())},
 		{Name: "side_processes", Value: float64(len(b.members.PresentAgents()))},
 		{Name: "balancers", Value: float64(len(b.members.Balancers()))},
-		{Name: "plan_version", Value: float64(b.planVersion())},
+		{Name: "plan_version", Value: float64(b.activePlan.Version())},
 		{Name: "store_answer_age_seconds", Value: b.storeAge().Seconds()},
-		{Name: "store_era", Value: float64(b.position.Last().Era)},
-		{Name: "store_revision", Value: float64(b.position.Last().Revision)},
+		{Name: "store_era", Value: float64(b.position.Latest().Era)},
+		{Name: "store_revision", Value: float64(b.position.Latest().Revision)},
 	}
 	return s
 }
 
-func (b *Balancer) planVersion() uint64 {
-	if p := b.activePlan.Current(); p != nil {
-		return p.Version
-	}
-	return 0
-}
-
 // storeAge returns the time since the store last answered any balancer, or the uptime of
 // this process if it has not answered yet.
 func (b *Balancer) storeAge() time.Duration {
@@ -126,7 +118,7 @@
 	defer b.mutex.Unlock()
 	now := time.Now()
 	s := State{
-		PlanVersion:  b.planVersion(),
+		PlanVersion:  b.activePlan.Version(),
 		PlanRevision: b.activePlan.Revision(),
 		StoreAgeMS:   b.storeAge().Milliseconds(),
 	}
--- a/internal/relay/entry/store.go
+++ b/internal/relay/entry/store.go
@@ -87,10 +87,11 @@
 	if err != nil {
 		return false
 	}
+	b.observePosition(c.Position)
 	present := false
 	b.mutex.Lock()
 	b.pollSchedule.RecordPoll(start)
-	b.seenRevision = max(b.seenRevision, c.Position.Revision)
+	b.position.RecordRead(c.Position)
 	heartbeat := b.newHeartbeat(start, true)
 	for _, h := range c.Balancers {
 		present = present || h == b.self
@@ -263,7 +264,7 @@
 	}
 	b.observePosition(position)
 	b.mutex.Lock()
-	changed := position.Revision > b.seenRevision || b.activePlan.Current() == nil
+	changed := b.position.PlanMayDiffer(position) || b.activePlan.Current() == nil
 	b.mutex.Unlock()
 	if changed {
 		p, err := b.store.Plan(call)
@@ -277,21 +278,18 @@
 		}
 		b.adoptPlan(p, "store")
 		b.mutex.Lock()
-		b.seenRevision = max(b.seenRevision, position.Revision)
+		b.position.RecordRead(position)
 		b.mutex.Unlock()
 	}
 	return nil
 }
 
-// observePosition records the store's position in the answer to a poll and logs if the
-// store has come back from an older copy.
+// observePosition records the store's position in an answer and logs if the store has come
+// back from an older copy.
 func (b *Balancer) observePosition(p plan.Position) {
 	b.mutex.Lock()
-	previous := b.position.Last()
+	previous := b.position.Latest()
 	restored := b.position.Observe(p)
-	if restored {
-		b.counts.storeRestores++
-	}
 	b.mutex.Unlock()
 	if !restored {
 		return
@@ -346,7 +344,7 @@
 // fetchPlan reads a plan that another balancer has in force, first from the store and
 // otherwise from a balancer. A plan may have several hundred kilobytes: the store's link
 // can serve all balancers at once, but a balancer's link would be blocked for seconds.
-func (b *Balancer) fetchPlan(ctx context.Context, revision uint64) {
+func (b *Balancer) fetchPlan(ctx context.Context, version uint64) {
 	defer func() {
 		b.mutex.Lock()
 		b.fetchingPlan = false
@@ -357,19 +355,19 @@
 	defer cancel()
 	p, err := b.store.Plan(call)
 	b.recordStoreCall(start, err)
-	if err == nil && p.Revision >= revision {
+	if err == nil && p.Version >= version {
 		b.adoptPlan(p, "store")
 		return
 	}
 	b.mutex.Lock()
-	peers := b.members.BalancersWithPlan(revision)
+	peers := b.members.BalancersWithPlan(version)
 	b.mutex.Unlock()
 	if len(peers) == 0 {
 		return
 	}
 	host := peers[rand.IntN(len(peers))]
 	if p, err = b.fetchPlanFromPeer(ctx, host); err != nil {
-		b.log.Important.Warn().Err(err).Str("balancer", host.String()).Uint64("plan_revision", revision).Msg("fetching a plan failed; retrying with the next heartbeat")
+		b.log.Important.Warn().Err(err).Str("balancer", host.String()).Uint64("plan_version", version).Msg("fetching a plan failed; retrying with the next heartbeat")
 		return
 	}
 	b.adoptPlan(p, host.String())
--- a/internal/relay/frame/codec.go
+++ b/internal/relay/frame/codec.go
@@ -108,11 +108,13 @@
 }
 
 func appendHeartbeat(out []byte, m Heartbeat) []byte {
-	out = append(out, magic, version, kindHeartbeat, bitIf(m.Leaving, bit0)|bitIf(m.WantsMembers, bit1))
+	// bit2 tells that the version of the plan follows, which earlier releases do not send.
+	out = append(out, magic, version, kindHeartbeat, bitIf(m.Leaving, bit0)|bitIf(m.WantsMembers, bit1)|bit2)
 	out = byteOrder.AppendUint32(out, uint32(m.Host))
 	out = byteOrder.AppendUint64(out, m.Process)
 	out = byteOrder.AppendUint64(out, m.Revision)
-	return byteOrder.AppendUint32(out, m.StoreAgeMS)
+	out = byteOrder.AppendUint32(out, m.StoreAgeMS)
+	return byteOrder.AppendUint64(out, m.PlanVersion)
 }
 
 func appendMemberList(out []byte, m MemberList) []byte {
@@ -296,7 +298,7 @@
 
 func (r *reader) heartbeat() Heartbeat {
 	bits := r.byte()
-	return Heartbeat{
+	m := Heartbeat{
 		Leaving:      bits&bit0 != 0,
 		WantsMembers: bits&bit1 != 0,
 		Host:         r.host(),
@@ -304,6 +306,10 @@
 		Revision:     r.uint64(),
 		StoreAgeMS:   r.uint32(),
 	}
+	if bits&bit2 != 0 {
+		m.PlanVersion = r.uint64()
+	}
+	return m
 }
 
 func (r *reader) memberList() MemberList {
--- a/internal/relay/frame/frame.go
+++ b/internal/relay/frame/frame.go
@@ -193,8 +193,11 @@
 type Heartbeat struct {
 	Host    Host
 	Process uint64
-	// Revision is the store revision of the plan in force, or 0 if there is none.
-	Revision uint64
+	// PlanVersion is the version of the plan in force, or 0 if there is none or the sender
+	// does not tell it. Revision is the plan's store revision; it orders plans only for
+	// senders and receivers without PlanVersion.
+	PlanVersion uint64
+	Revision    uint64
 	// StoreAgeMS is the time in milliseconds since the last successful poll of the store by
 	// any balancer, or StoreAgeUnknown if there was none.
 	StoreAgeMS uint32
--- a/internal/relay/frame/frame_test.go
+++ b/internal/relay/frame/frame_test.go
@@ -73,6 +73,7 @@
 		frame.Heartbeat{
 			Host:         1,
 			Process:      2,
+			PlanVersion:  5,
 			Revision:     3,
 			StoreAgeMS:   4,
 			Leaving:      true,
@@ -119,6 +120,17 @@
 		}
 	})
 
+	It("decodes heartbeats of earlier releases, which lack the version of the plan", func() {
+		earlier := []byte{0xc7, 1, 5, 2, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 2, 0, 0, 0, 0, 0, 0, 0, 3, 0, 0, 0, 4}
+		Expect(frame.Decode(earlier)).To(Equal(frame.Heartbeat{
+			Host:         1,
+			Process:      2,
+			Revision:     3,
+			StoreAgeMS:   4,
+			WantsMembers: true,
+		}))
+	})
+
 	It("rejects truncated datagrams, other versions and a position outside the candidate list", func() {
 		for _, m := range messages() {
 			whole := frame.Append(nil, m)
--- a/internal/relay/plan/plan.go
+++ b/internal/relay/plan/plan.go
@@ -81,8 +81,11 @@
 
 // Plan is one version of the routes. It is immutable.
 type Plan struct {
-	// Version is set by the operators, Revision by the store; both increase.
-	Version  uint64
+	// Version is set by the operators. It increases with each change, also when the store
+	// comes back from an older copy.
+	Version uint64
+	// Revision is set by the store. It tells nothing about the order of two plans, because
+	// the store gives revisions out again after it has come back from an older copy.
 	Revision uint64
 	Routes   map[Target]*Route
 	// IdleTimeout is how long a flow may be idle before it may be discarded.
@@ -109,12 +112,20 @@
 	return 0
 }
 
-// Adopt puts p in force if both its version and its revision are higher than those of the
-// current plan, or if there is none. It reports whether p is now in force.
+// Version returns the version of the plan in force, or 0 if there is none.
+func (h *Active) Version() uint64 {
+	if p := h.current.Load(); p != nil {
+		return p.Version
+	}
+	return 0
+}
+
+// Adopt puts p in force if its version is higher than that of the current plan, or if there
+// is none. It reports whether p is now in force.
 func (h *Active) Adopt(p *Plan) bool {
 	for {
 		old := h.current.Load()
-		if old != nil && (p.Revision <= old.Revision || p.Version <= old.Version) {
+		if old != nil && p.Version <= old.Version {
 			return false
 		}
 		if h.current.CompareAndSwap(old, p) {
--- a/internal/relay/plan/position.go
+++ b/internal/relay/plan/position.go
@@ -10,23 +10,49 @@
 	Revision uint64
 }
 
-// Tracker follows the position of the store through the answers to successive polls.
+// Tracker follows the position of the store through its answers.
 type Tracker struct {
-	last  Position
-	known bool
+	// latest is the latest position seen, read the one at which the plan was last read.
+	latest   Position
+	read     Position
+	known    bool
+	restores uint64
 }
 
-// Observe records the position in the answer to a poll. It reports whether the store has
-// come back from an older copy since the last one: its era is higher, or its revision is
-// lower in the same era, from a store that does not tell its eras.
+// Observe records the position in an answer. It reports whether the store has come back
+// from an older copy since the latest one: its era is higher, or, if it does not tell its
+// eras, its revision is lower. An answer of an earlier era is late and changes nothing.
 func (t *Tracker) Observe(p Position) (restored bool) {
-	restored = t.known && (p.Era > t.last.Era || p.Era == t.last.Era && p.Revision < t.last.Revision)
-	t.last = p
+	toldEras := p.Era != 0 || t.latest.Era != 0
+	restored = t.known && (p.Era > t.latest.Era || !toldEras && p.Revision < t.latest.Revision)
+	if restored {
+		t.restores++
+	}
+	if restored || !t.known || p.Era == t.latest.Era && p.Revision > t.latest.Revision {
+		t.latest = p
+	}
 	t.known = true
 	return restored
 }
 
-// Last returns the position in the last answer.
-func (t *Tracker) Last() Position {
-	return t.last
+// Latest returns the latest position seen.
+func (t *Tracker) Latest() Position {
+	return t.latest
+}
+
+// Restores returns how often the store was found to have come back from an older copy. What
+// was written to it before the last time may be lost.
+func (t *Tracker) Restores() uint64 {
+	return t.restores
+}
+
+// PlanMayDiffer reports whether the store may hold another plan at p than the one last
+// read. Revisions of different eras do not compare, so any other position counts.
+func (t *Tracker) PlanMayDiffer(p Position) bool {
+	return p != t.read
+}
+
+// RecordRead records that the plan was read after the store had been at p.
+func (t *Tracker) RecordRead(p Position) {
+	t.read = p
 }
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -373,10 +373,10 @@
 	return sortedHosts(r.balancers)
 }
 
-// BalancersWithPlan returns the balancers whose plan has at least the given revision.
-func (r *Roster) BalancersWithPlan(revision uint64) (list []frame.Host) {
+// BalancersWithPlan returns the balancers whose plan has at least the given version.
+func (r *Roster) BalancersWithPlan(version uint64) (list []frame.Host) {
 	for h, b := range r.balancers {
-		if b.Heard && b.Revision >= revision {
+		if b.Heard && b.PlanVersion >= version {
 			list = append(list, h)
 		}
 	}
