entry: write the directory and the member record again after a restore of the store

Cause: a balancer remembers what it wrote (digest of the member record, its entry in the directory) and compares with that instead of the store.

Change: when the store's era rises, the digest is forgotten, and the directory is compared with the live balancers, which also happens every five minutes now, by one balancer for all. A write whose answer crosses the restore is not taken as made.

--- a/internal/relay/entry/entry.go
+++ b/internal/relay/entry/entry.go
@@ -63,22 +63,23 @@
 	members      *roster.Roster
 	pollSchedule plan.PollSchedule
 	position     plan.Tracker
-	// writtenDigest is the digest of the present agents in the last member record.
+	// writtenDigest is the digest of the present agents in the last member record, or that
+	// of none if the store may have lost the record.
 	writtenDigest uint64
 	nextWriteAt   time.Time
 	// registered reports that the balancer directory contains this balancer.
-	registered    bool
-	storeLost     bool
-	storeLostAt   time.Time
-	nextCleanupAt time.Time
-	fetchingPlan  bool
-	leaving       bool
-	ready         bool
-	lastPacketAt  time.Time
-	sendBuffer    []byte
-	counts        counts
-	recordLatency func(name string, took time.Duration)
-	stopping      atomic.Bool
+	registered          bool
+	storeLost           bool
+	storeLostAt         time.Time
+	nextDirectorySyncAt time.Time
+	fetchingPlan        bool
+	leaving             bool
+	ready               bool
+	lastPacketAt        time.Time
+	sendBuffer          []byte
+	counts              counts
+	recordLatency       func(name string, took time.Duration)
+	stopping            atomic.Bool
 }
 
 // Option sets one property of a Balancer.
@@ -105,13 +106,13 @@
 	defer func() { err = eris.Wrap(err, "opening a balancer") }()
 	now := time.Now()
 	b = &Balancer{
-		settings:      s,
-		self:          frame.HostOf(s.Address),
-		process:       rand.Uint64(),
-		startedAt:     now,
-		nextCleanupAt: now.Add(directoryCleanupInterval),
-		client:        newClient(),
-		recordLatency: func(string, time.Duration) {},
+		settings:            s,
+		self:                frame.HostOf(s.Address),
+		process:             rand.Uint64(),
+		startedAt:           now,
+		nextDirectorySyncAt: now.Add(directorySyncInterval),
+		client:              newClient(),
+		recordLatency:       func(string, time.Duration) {},
 	}
 	for _, o := range options {
 		o(b)
@@ -204,13 +205,13 @@
 		b.updateReady(now)
 		poll := b.pollSchedule.StartPoll(now, b.members.Rank(now))
 		members, changed := b.membersToWrite(now)
-		cleanUp := now.After(b.nextCleanupAt) && b.members.Rank(now) == 0
-		if cleanUp {
-			b.nextCleanupAt = now.Add(directoryCleanupInterval)
+		syncDirectory := now.After(b.nextDirectorySyncAt) && b.members.Rank(now) == 0
+		if syncDirectory {
+			b.nextDirectorySyncAt = now.Add(directoryRetryInterval)
 		}
 		b.mutex.Unlock()
-		if cleanUp {
-			go b.removeStaleBalancers(ctx)
+		if syncDirectory {
+			go b.syncDirectory(ctx)
 		}
 		if poll {
 			go b.pollStore(ctx)
--- a/internal/relay/entry/store.go
+++ b/internal/relay/entry/store.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strconv"
 	"time"
 
@@ -154,6 +153,9 @@
 	start := time.Now()
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	b.mutex.Lock()
+	restores := b.position.Restores()
+	b.mutex.Unlock()
 	err := b.store.WriteMembers(call, m)
 	b.recordStoreCall(start, err)
 	if err != nil {
@@ -161,39 +163,10 @@
 	}
 	b.log.Important.Info().Int("side_processes", len(m.Present)).Int("left", len(m.Departed)).Msg("member record written to the store")
 	b.mutex.Lock()
-	b.writtenDigest = roster.Digest(m.Present)
-	b.mutex.Unlock()
-}
-
-// directoryCleanupInterval is the interval of checks for stale balancers in the balancer
-// directory, and the delay of the first one. Days pass between replacements at one address,
-// so a few minutes are enough.
-const directoryCleanupInterval = 5 * time.Minute
-
-// removeStaleBalancers removes balancers from the balancer directory that the roster does
-// not list, because they have sent no heartbeat for too long. One balancer does so for all.
-func (b *Balancer) removeStaleBalancers(ctx context.Context) {
-	start := time.Now()
-	call, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	list, err := b.store.Balancers(call)
-	b.recordStoreCall(start, err)
-	if err != nil {
-		return
+	if restores == b.position.Restores() {
+		b.writtenDigest = roster.Digest(m.Present)
 	}
-	b.mutex.Lock()
-	known := append(b.members.Balancers(), b.self)
 	b.mutex.Unlock()
-	stale := slices.DeleteFunc(list, func(h frame.Host) bool { return slices.Contains(known, h) })
-	if len(stale) == 0 {
-		return
-	}
-	start = time.Now()
-	err = b.store.RemoveBalancers(call, stale)
-	b.recordStoreCall(start, err)
-	if err == nil {
-		b.log.Important.Info().Int("balancers", len(stale)).Msg("stale balancers removed from the directory")
-	}
 }
 
 // register adds this balancer to the balancer directory, so that processes that know no
@@ -201,7 +174,7 @@
 func (b *Balancer) register(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	err := b.store.AddBalancer(call, b.self, b.settings.Name)
+	err := b.store.AddBalancers(call, []frame.Host{b.self}, b.settings.Name)
 	if err != nil {
 		b.log.Important.Warn().Err(err).Msg("adding this balancer to the directory failed; retrying after the next successful poll of the store")
 	}
@@ -220,7 +193,7 @@
 	if err != nil && !lost {
 		b.storeLostAt = start
 	}
-	if err == nil && lost && start.After(b.storeLostAt.Add(directoryCleanupInterval)) {
+	if err == nil && lost && start.After(b.storeLostAt.Add(directorySyncInterval)) {
 		// Another balancer may have removed this one from the directory meanwhile.
 		b.registered = false
 	}
@@ -284,12 +257,17 @@
 	return nil
 }
 
-// observePosition records the store's position in an answer and logs if the store has come
-// back from an older copy.
+// observePosition records the store's position in an answer. If the store has
+// come back from an older copy, the member record and the balancer directory are written
+// again.
 func (b *Balancer) observePosition(p plan.Position) {
 	b.mutex.Lock()
 	previous := b.position.Latest()
 	restored := b.position.Observe(p)
+	if restored {
+		b.writtenDigest = roster.Digest(nil)
+		b.nextDirectorySyncAt = time.Now()
+	}
 	b.mutex.Unlock()
 	if !restored {
 		return
--- a/internal/relay/port/port.go
+++ b/internal/relay/port/port.go
@@ -70,8 +70,8 @@
 	Departed []frame.Host
 }
 
-// Store is the platform's store. Each method makes one store call per page of results
-// and does not retry.
+// Store is the platform's store. Each method makes one store call per page of results or
+// batch of writes and does not retry.
 type Store interface {
 	// Contents reads the plan, the balancer directory and the members.
 	Contents(ctx context.Context) (Contents, error)
@@ -81,8 +81,9 @@
 	Plan(ctx context.Context) (*plan.Plan, error)
 	// Balancers reads the balancer directory.
 	Balancers(ctx context.Context) ([]frame.Host, error)
-	// AddBalancer adds a balancer to the balancer directory.
-	AddBalancer(ctx context.Context, h frame.Host, name string) error
+	// AddBalancers adds balancers to the balancer directory. The name is that of the process
+	// that adds them.
+	AddBalancers(ctx context.Context, hosts []frame.Host, name string) error
 	// WriteMembers stores the member record.
 	WriteMembers(ctx context.Context, m Members) error
 	// RemoveBalancers removes balancers from the balancer directory.
