adopt: read the head anew after a watch that did not return it

Operators saw, in a spec: after the store came back from an older copy, a file that was accepted is not in force on the balancers that watch, until the store's versions have passed those of before.

Cause: the store version of the head that was last read was kept as the watch position over failed and ended watches. The copy gives versions out again, so a later head can have a version that the position already covers.

Change: the position serves only the watch that follows a head. After a watch that ended or failed, the next one starts from 0 and returns the head at once; its record, not its version, decides. The store's era is not needed.

--- a/internal/board/adopt/adopt.go
+++ b/internal/board/adopt/adopt.go
@@ -36,8 +36,9 @@
 	random *rand.Rand
 	active *ActiveFile
 	role   watchRole
-	// version is the store version of the head that was last read, 0 before the
-	// first read.
+	// version is the store version of the head if the last watch returned it, otherwise
+	// 0: the store may have come back from an older copy while no answer came, and then
+	// gives later heads versions that it has given before.
 	version  uint64
 	watching bool
 	// watchAt is when the next watch starts.
@@ -79,6 +80,7 @@
 	case HeadRead:
 		return m.handleHead(now, e)
 	case WatchEnded:
+		m.version = 0
 		m.scheduleWatch(now)
 	case WatchFailed:
 		m.watchFailed(now)
@@ -122,6 +124,7 @@
 }
 
 func (m *Machine) watchFailed(now time.Time) {
+	m.version = 0
 	m.watching = false
 	m.watchAt = m.watchBackoff.Next(now)
 	if !m.role.watcher {
@@ -171,8 +174,7 @@
 	}
 }
 
-// refuseHead leaves the version unchanged, so that the same head is read again: it
-// may have been corrupted in transit.
+// refuseHead has the head read again: it may have been corrupted in transit.
 func (m *Machine) refuseHead(now time.Time) []Action {
 	m.watchFailed(now)
 	return countRefusal(0, head.BadContent)
--- a/internal/fake/store/memory.go
+++ b/internal/fake/store/memory.go
@@ -55,6 +55,18 @@
 	}
 }
 
+// Restore replaces the entries and leases by those of an earlier copy and drops the waiting
+// watches. Versions after that of the copy are given out again.
+func (m *Memory) Restore(earlier *Memory) {
+	from := earlier.Clone()
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.version = from.version
+	m.entries = from.entries
+	m.leases = from.leases
+	m.watches = nil
+}
+
 // Counts returns the numbers of calls and of waiting watches.
 func (m *Memory) Counts() Counts {
 	m.lock.Lock()
