adopt: write the file in force back to a store that has an older one

Operators saw, in specs: after the store came back from an older copy, new nodes put an older file in force, and the next files that operators applied to it were accepted and then ignored by all running balancers, until their revisions had passed the one in force.

Change: a node that reads an older head writes its record and file back, by the same compare-and-swap as a command. A file that was accepted in between is not blended in and not dropped: it waits for the chair. Revisions that are lost count as forgotten, so no proposal is applied twice. Apply takes the change of the head as a function, so that both use one machine.

--- a/internal/board/adopt/adopt.go
+++ b/internal/board/adopt/adopt.go
@@ -50,6 +50,7 @@
 	fetchBackoff *retry.Backoff
 	// refusedRecord is the hash of the record that was last refused.
 	refusedRecord file.Hash
+	restore       restore
 }
 
 // New returns the machine of the node named self. The seed determines its jitter.
@@ -90,6 +91,9 @@
 		return m.handlePart(now, e)
 	case FetchFailed:
 		return m.handleFetchFailure(now, e)
+	case RestoreEnded:
+		m.restore.end()
+		m.version = 0
 	}
 	return nil
 }
@@ -107,6 +111,7 @@
 			Deadline:     now.Add(watchTimeout),
 		})
 	}
+	actions = append(actions, m.startRestore(now)...)
 	return append(actions, m.fetchNextPart(now)...)
 }
 
@@ -166,10 +171,13 @@
 	}
 	switch {
 	case seen.revision < m.active.Revision():
+		m.scheduleRestore(now, h)
 		return countRefusal(seen.revision, head.PassedBase)
 	case seen.revision == m.active.Revision():
-		return m.compareRecord(seen)
+		return m.compareRecord(now, h, seen)
 	default:
+		m.restore.cancel()
+		m.restore.addHistory(h)
 		return m.setTarget(now, seen)
 	}
 }
@@ -182,10 +190,13 @@
 
 // compareRecord refuses a record with the active revision but different content:
 // either the store lost its state or the record is forged.
-func (m *Machine) compareRecord(seen *target) []Action {
+func (m *Machine) compareRecord(now time.Time, h head.Head, seen *target) []Action {
 	if m.active == nil || seen.hash == m.active.RecordHash {
+		m.restore.cancel()
+		m.restore.addHistory(h)
 		return nil
 	}
+	m.scheduleRestore(now, h)
 	return countRefusal(seen.revision, head.BadContent)
 }
 
--- a/internal/board/adopt/matrix_test.go
+++ b/internal/board/adopt/matrix_test.go
@@ -1,6 +1,7 @@
 package adopt_test
 
 import (
+	"context"
 	"crypto/ed25519"
 	"fmt"
 	"os"
@@ -15,7 +16,9 @@
 	"github.com/clementinewing/clementinewing/internal/board/adopt"
 	"github.com/clementinewing/clementinewing/internal/board/file"
 	"github.com/clementinewing/clementinewing/internal/board/head"
+	"github.com/clementinewing/clementinewing/internal/edge/board"
 	"github.com/clementinewing/clementinewing/internal/fake/clock"
+	fake "github.com/clementinewing/clementinewing/internal/fake/store"
 )
 
 // firstServices is the number of services in the first file, which has two pieces.
@@ -36,7 +39,9 @@
 	pausedUntil   time.Time
 	delayedEvents []adopt.Event
 	adopted       []uint64
-	violations    []string
+	// restores counts the attempts to write the active file back to the store.
+	restores   int
+	violations []string
 }
 
 // publishedRevisions returns a publisher with three revisions, the last by a decision of
@@ -116,6 +121,12 @@
 	switch a := a.(type) {
 	case adopt.Adopt:
 		n.adopt(a.Active)
+	case adopt.Restore:
+		n.restores++
+		board.Run(context.Background(), &fake.Service{
+			Memory: n.publisher.memory,
+		}, head.NewRestore(a.Active.Record, a.Active.File, a.Known, a.Deadline, 1))
+		n.clock.After(time.Millisecond, func() { n.step(adopt.RestoreEnded{}) })
 	case adopt.Watch:
 		n.call(a.Deadline, adopt.WatchEnded{}, adopt.WatchFailed{}, func(fault string) adopt.Event {
 			return n.watch(a, fault)
--- a/internal/board/adopt/message.go
+++ b/internal/board/adopt/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/clementinewing/clementinewing/internal/board/file"
 	"github.com/clementinewing/clementinewing/internal/board/head"
+	"github.com/clementinewing/clementinewing/internal/board/sign"
 )
 
 // Event is an input of the Machine.
@@ -45,6 +46,9 @@
 	Bytes []byte
 }
 
+// RestoreEnded answers a Restore, whatever its outcome.
+type RestoreEnded struct{}
+
 // FetchFailed answers a Fetch that did not return the part.
 type FetchFailed struct {
 	Hash file.Hash
@@ -59,6 +63,7 @@
 func (RevisionAnnounced) event() {}
 func (PartFetched) event()       {}
 func (FetchFailed) event()       {}
+func (RestoreEnded) event()      {}
 
 // Source is where a part is fetched from.
 type Source uint8
@@ -92,6 +97,14 @@
 	Active *ActiveFile
 }
 
+// Restore writes the active file back to a store that has an older one in force. Known holds
+// the proposals that the node has had active, by revision.
+type Restore struct {
+	Active   *ActiveFile
+	Known    map[uint64]sign.ID
+	Deadline time.Time
+}
+
 // CountRefusal counts a revision that the node does not adopt.
 type CountRefusal struct {
 	Revision uint64
@@ -101,4 +114,5 @@
 func (Watch) action()        {}
 func (Fetch) action()        {}
 func (Adopt) action()        {}
+func (Restore) action()      {}
 func (CountRefusal) action() {}
--- a/internal/board/adopt/target.go
+++ b/internal/board/adopt/target.go
@@ -204,6 +204,7 @@
 	active.Parts[t.record.Proposal.Content] = t.assembly.Manifest().Bytes()
 	m.active = active
 	m.target = nil
+	m.restore.addKnown(active.Revision(), active.Record.Proposal.ID())
 	actions := []Action{
 		Adopt{
 			Active: active,
--- a/internal/board/head/apply.go
+++ b/internal/board/head/apply.go
@@ -7,12 +7,13 @@
 	"github.com/clementinewing/clementinewing/internal/board/sign"
 )
 
-// Apply is the state machine that applies one operator's file. It reads the head, writes
-// the parts that are not also part of the file in force, and updates the head.
+// Apply is the state machine that puts one file in the store: an operator's new one, or one
+// that the store has lost. It reads the head, writes the parts that are not also part of
+// the file in force, and updates the head.
 type Apply struct {
-	updater  Updater
-	proposal sign.Proposal
-	roster   Roster
+	updater Updater
+	// change computes the new head from the one that was read.
+	change func(now time.Time, h Head) Result
 	// unwritten are the parts still to be written, the manifest last.
 	unwritten []part
 	// sharedContent is the content hash of the file in force whose manifest was read
@@ -28,10 +29,15 @@
 // NewApply returns a machine that applies a file with its signed proposal. It gives up
 // at the deadline; the seed determines the retry jitter.
 func NewApply(f file.File, p sign.Proposal, deadline time.Time, seed uint64) *Apply {
+	return newUpdate(f, deadline, seed, func(now time.Time, h Head) Result {
+		return h.ApplyProposal(now, p, RosterOf(f))
+	})
+}
+
+func newUpdate(f file.File, deadline time.Time, seed uint64, change func(time.Time, Head) Result) *Apply {
 	a := &Apply{
-		updater:  NewUpdater(deadline, seed),
-		proposal: p,
-		roster:   RosterOf(f),
+		updater: NewUpdater(deadline, seed),
+		change:  change,
 	}
 	manifest, pieces := f.Split()
 	for i := range pieces {
@@ -76,7 +82,7 @@
 	if err != nil {
 		return a.updater.FailUnreadable(h, err)
 	}
-	r := h.ApplyProposal(now, a.proposal, a.roster)
+	r := a.change(now, h)
 	if !r.Changed || len(a.unwritten) == 0 {
 		return a.updater.Write(r, e.Version)
 	}
--- a/internal/edge/follow/follow.go
+++ b/internal/edge/follow/follow.go
@@ -12,6 +12,7 @@
 	"github.com/clementinewing/clementinewing/internal/board/adopt"
 	"github.com/clementinewing/clementinewing/internal/board/file"
 	"github.com/clementinewing/clementinewing/internal/board/head"
+	"github.com/clementinewing/clementinewing/internal/edge/board"
 	"github.com/clementinewing/clementinewing/internal/edge/store"
 )
 
@@ -33,6 +34,8 @@
 	events     chan adopt.Event
 	onAdopted  func(*adopt.ActiveFile)
 	onRefused  func(adopt.CountRefusal)
+	onRestored func(head.Result)
+	seed       uint64
 	activeFile atomic.Pointer[adopt.ActiveFile]
 	calls      sync.WaitGroup
 }
@@ -54,15 +57,25 @@
 	}
 }
 
+// WithRestored calls f with the result of each attempt to write the active file back to the
+// store.
+func WithRestored(f func(head.Result)) Option {
+	return func(o *Follower) {
+		o.onRestored = f
+	}
+}
+
 // New returns the Follower of the node named self. seed seeds its jitter. A nil store
 // behaves as one that never answers.
 func New(self string, seed uint64, s store.Store, options ...Option) *Follower {
 	f := &Follower{
-		store:     s,
-		machine:   adopt.New(self, seed),
-		events:    make(chan adopt.Event, maxQueuedEvents),
-		onAdopted: func(*adopt.ActiveFile) {},
-		onRefused: func(adopt.CountRefusal) {},
+		store:      s,
+		machine:    adopt.New(self, seed),
+		seed:       seed,
+		events:     make(chan adopt.Event, maxQueuedEvents),
+		onAdopted:  func(*adopt.ActiveFile) {},
+		onRefused:  func(adopt.CountRefusal) {},
+		onRestored: func(head.Result) {},
 	}
 	for _, o := range options {
 		o(f)
@@ -143,6 +156,8 @@
 			f.startCall(ctx, a.Deadline, func(ctx context.Context) adopt.Event { return f.watch(ctx, a) })
 		case adopt.Fetch:
 			f.startCall(ctx, a.Deadline, func(ctx context.Context) adopt.Event { return f.fetch(ctx, a) })
+		case adopt.Restore:
+			f.startCall(ctx, a.Deadline, func(ctx context.Context) adopt.Event { return f.restore(ctx, a) })
 		case adopt.Adopt:
 			f.activeFile.Store(a.Active)
 			f.onAdopted(a.Active)
@@ -183,6 +198,12 @@
 	}
 }
 
+// restore writes the active file back to the store.
+func (f *Follower) restore(ctx context.Context, a adopt.Restore) adopt.Event {
+	f.onRestored(board.Run(ctx, f.store, head.NewRestore(a.Active.Record, a.Active.File, a.Known, a.Deadline, f.seed)))
+	return adopt.RestoreEnded{}
+}
+
 func (f *Follower) fetch(ctx context.Context, a adopt.Fetch) adopt.Event {
 	content, err := f.fetchContent(ctx, a)
 	if err != nil || len(content) == 0 {
--- a/internal/edge/follow/follow_test.go
+++ b/internal/edge/follow/follow_test.go
@@ -61,6 +61,11 @@
 	Expect(r.Refusal).To(BeNil())
 }
 
+// revisionOf returns a function that returns the revision that is active on a node.
+func revisionOf(f *follow.Follower) func() uint64 {
+	return func() uint64 { return f.ActiveFile().Revision() }
+}
+
 func startFollower(f *follow.Follower) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -102,6 +107,33 @@
 		Expect(newNode.ActiveFile().Revision()).To(Equal(uint64(2)))
 	})
 
+	It("writes the file in force back to a store that came back from an older copy", func() {
+		service := fake.New()
+		first := follow.New("b1", 1, service)
+		startFollower(first)
+		applyFile(service, 0)
+		Eventually(first.ActiveFile, specTimeout).ShouldNot(BeNil())
+		copied := service.Memory.Clone()
+		applyFile(service, 1)
+		Eventually(revisionOf(first), specTimeout).Should(Equal(uint64(2)))
+
+		service.Memory.Restore(copied)
+		Eventually(func() uint64 {
+			h, err := board.ReadHead(context.Background(), service, time.Now().Add(specTimeout), 1)
+			Expect(err).NotTo(HaveOccurred())
+			return h.Record.Revision
+		}, specTimeout).Should(Equal(uint64(2)))
+		newNode := follow.New("b2", 2, service)
+		startFollower(newNode)
+		Eventually(revisionOf(newNode), specTimeout).Should(Equal(uint64(2)))
+		Expect(newNode.ActiveFile().RecordHash).To(Equal(first.ActiveFile().RecordHash))
+
+		applyFile(service, 2)
+		for _, f := range []*follow.Follower{first, newNode} {
+			Eventually(revisionOf(f), specTimeout).Should(Equal(uint64(3)))
+		}
+	})
+
 	It("returns no part for a malformed hash", func() {
 		f := follow.New("b1", 1, fake.New())
 		_, ok := f.File("xyz")
--- a/internal/role/front/front.go
+++ b/internal/role/front/front.go
@@ -119,6 +119,7 @@
 		f.store,
 		follow.WithAdopted(f.applyFile),
 		follow.WithRefused(f.refusals.add),
+		follow.WithRestored(f.logRestore),
 	)
 	f.member, err = peer.NewMember(f.ownRecord(), f.peerOptions()...)
 	if err != nil {
--- a/internal/role/front/view.go
+++ b/internal/role/front/view.go
@@ -7,6 +7,7 @@
 
 	"github.com/clementinewing/clementinewing/internal/board/adopt"
 	"github.com/clementinewing/clementinewing/internal/board/file"
+	"github.com/clementinewing/clementinewing/internal/board/head"
 	"github.com/clementinewing/clementinewing/internal/fleet/member"
 	"github.com/clementinewing/clementinewing/internal/flow/route"
 	"github.com/clementinewing/clementinewing/internal/world/node"
@@ -22,6 +23,17 @@
 	f.logger.Info().Uint64("revision", h.Revision()).Str("file", h.File.Name).Msg("file in force")
 }
 
+// logRestore logs the result of writing the file in force back to a store that had an
+// older one.
+func (f *Balancer) logRestore(r head.Result) {
+	switch {
+	case r.Refusal != nil:
+		f.logger.Warn().Err(r.Refusal).Msg("store has an older file in force; writing the one in force back failed or waits for the chair")
+	case r.Changed:
+		f.logger.Warn().Uint64("revision", r.Revision).Msg("store had an older file in force; the one in force was written back")
+	}
+}
+
 // followHead passes the head of a peer, which names a newer file in force there, to
 // the follower.
 func (f *Balancer) followHead(h member.Head) {
