soak: bring the store back from an older copy

The store is taken away and comes back without its last changes, up to twelve, in a new era; 0.3 s later the operator has written its items again. The kind is drawn from a stream of its own, so the seeds keep the events that they had.

--- a/internal/soak/fleet/inject.go
+++ b/internal/soak/fleet/inject.go
@@ -47,6 +47,8 @@
 		return f.replaceEndpoint(e)
 	case plan.LinkSilent, plan.LinkReset, plan.LinkOneWay, plan.LinkSlow:
 		f.injectLinkFault(e, w)
+	case plan.StoreRestored:
+		f.restoreStore(e, w)
 	default:
 		f.injectStoreFault(e, w)
 	}
@@ -96,6 +98,22 @@
 	}
 }
 
+// rewriteDelay is the time from the return of a restored store until the operator has
+// written its items again.
+const rewriteDelay = 300 * time.Millisecond
+
+// restoreStore takes the store away and brings it back from an older copy.
+func (f *Fleet) restoreStore(e plan.Event, w verify.FaultWindow) {
+	w.Until = w.Until.Add(rewriteDelay)
+	f.RecordStoreFault(w)
+	f.Store.SetMode(fake.RequestLost, 1, 0)
+	time.Sleep(e.Duration)
+	f.Store.LoseChanges(uint64(e.Target))
+	f.Store.SetMode(fake.Normal, 0, 0)
+	time.Sleep(rewriteDelay)
+	f.Store.Rewrite()
+}
+
 // slowStoreDelay is the delay of each call to a slow store.
 const slowStoreDelay = 250 * time.Millisecond
 
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -61,6 +61,14 @@
 	// delays them.
 	LinkOneWay
 	LinkSlow
+	linkKinds
+)
+
+// StoreRestored takes the store away for the event's duration and brings it back without
+// its last changes, as many as the event's target. It is drawn separately from the kinds
+// above for the same reason.
+const (
+	StoreRestored = linkKinds + iota
 
 	kindCount
 )
@@ -70,7 +78,7 @@
 	"pause_side", "kill_all", "crash_endpoint", "leave_endpoint", "store_busy",
 	"store_silent", "store_reset", "store_lost", "store_slow", "add_route",
 	"drop_route", "hangup", "store_late", "link_silent", "link_reset", "link_one_way",
-	"link_slow",
+	"link_slow", "store_restored",
 }
 
 // String returns the kind as reports print it.
@@ -79,7 +87,7 @@
 }
 
 // Event is one fault or planned change. Offset is its time after the start of the
-// run; Target is the number of a balancer or of an agent.
+// run; Target is the number of a balancer or of an agent, or of lost changes.
 type Event struct {
 	Offset   time.Duration
 	Kind     Kind
@@ -103,6 +111,10 @@
 	sameTimeProbability = 0.3
 	// maxLinkGap bounds the time between two faults of the links.
 	maxLinkGap = 8 * time.Second
+	// maxRestoreGap bounds the time between two restores of the store, maxLostChanges the
+	// changes that one of them loses.
+	maxRestoreGap  = 15 * time.Second
+	maxLostChanges = 12
 )
 
 // Draw returns the plan of a seed for a time span.
@@ -125,6 +137,7 @@
 		}
 	}
 	events = append(events, drawLinkFaults(seed, span)...)
+	events = append(events, drawRestores(seed, span)...)
 	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.Offset, b.Offset) })
 	return events
 }
@@ -140,7 +153,25 @@
 		}
 		events = append(events, Event{
 			Offset:   at,
-			Kind:     processKinds + Kind(r.IntN(int(kindCount-processKinds))),
+			Kind:     processKinds + Kind(r.IntN(int(linkKinds-processKinds))),
+			Duration: time.Duration(r.Int64N(int64(maxDuration))),
+		})
+	}
+}
+
+// drawRestores draws the restores of the store from an older copy.
+func drawRestores(seed uint64, span time.Duration) (events []Event) {
+	r := rand.New(rand.NewPCG(seed, 2))
+	at := quietMargin
+	for {
+		at += time.Duration(r.Int64N(int64(maxRestoreGap)))
+		if at >= span-2*quietMargin-maxDuration {
+			return events
+		}
+		events = append(events, Event{
+			Offset:   at,
+			Kind:     StoreRestored,
+			Target:   1 + r.IntN(maxLostChanges),
 			Duration: time.Duration(r.Int64N(int64(maxDuration))),
 		})
 	}
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -31,14 +31,18 @@
 			for _, e := range plan.Draw(seed, span, 3, 6) {
 				seen[e.Kind] = true
 				Expect(e.Offset).To(And(BeNumerically(">=", last), BeNumerically("<", span)))
-				Expect(e.Target).To(BeNumerically("<", 6))
+				limit := 6
+				if e.Kind == plan.StoreRestored {
+					limit = 13
+				}
+				Expect(e.Target).To(BeNumerically("<", limit))
 				if e.Offset == last {
 					overlaps++
 				}
 				last = e.Offset
 			}
 		}
-		Expect(seen).To(HaveLen(int(plan.LinkSlow) + 1))
+		Expect(seen).To(HaveLen(int(plan.StoreRestored) + 1))
 		Expect(overlaps).To(BeNumerically(">", 0))
 	})
 })
