roster: do not trust a member record from before the store was restored

Callers saw, in a spec: open flows of a living endpoint were reset by a balancer that started just after the store had come back from an older copy.

Cause: a balancer that starts takes the member record for the list of all who may own flows, and resets a flow once all of them have denied it. The copy's record lacks agents that joined after it; their reports come up to 250 ms later than those of the agents that the record names, which are greeted at once. Same class: what was written before is taken for what the store holds now.

Change: the record holds the era in which it was written. One of an earlier era names agents to expect, but the balancer waits for two report intervals like one that was given no list, and writes the record again even if the same agents are present. No record is written before the store has answered.

--- a/internal/board/adopt/message.go
+++ b/internal/board/adopt/message.go
@@ -98,7 +98,7 @@
 }
 
 // Restore writes the active file back to a store that has an older one in force. Known holds
-// the proposals that the node has had active, by revision.
+// the proposals that led to the active file, by revision.
 type Restore struct {
 	Active   *ActiveFile
 	Known    map[uint64]sign.ID
--- a/internal/board/head/restore.go
+++ b/internal/board/head/restore.go
@@ -18,9 +18,9 @@
 	})
 }
 
-// RestoreRecord puts a record back in force in a head that has an older one. Its roster is
-// that of its file. A record that came into force in the store meanwhile collides with it:
-// the file of the lower revision, or of r if the revisions are equal, waits for the chair. A head
+// RestoreRecord puts a record back in force in a head that has an older one. The roster is
+// that of its file. A file that came into force after the copy collides with it: the one
+// with the lower revision waits for the chair, or that of r if both have the same. A head
 // with a higher revision stays as it is.
 func (h Head) RestoreRecord(now time.Time, r Record, roster Roster, known map[uint64]sign.ID) Result {
 	same := h.Record.Proposal.ID() == r.Proposal.ID()
--- a/internal/relay/entry/packets.go
+++ b/internal/relay/entry/packets.go
@@ -195,6 +195,7 @@
 	}
 	newer := p.PlanVersion > b.activePlan.Version()
 	if p.PlanVersion == 0 {
+		// The heartbeat of an earlier release tells the revision only.
 		newer = p.Revision > b.activePlan.Revision()
 	}
 	if newer && !b.fetchingPlan {
--- a/internal/relay/entry/store.go
+++ b/internal/relay/entry/store.go
@@ -101,14 +101,15 @@
 	for _, h := range b.members.ApplyRecord(start, c.Members.Present, c.Members.Departed) {
 		b.send(h, heartbeat)
 	}
-	if len(c.Members.Present) > 0 {
+	if c.MembersCurrent() {
 		b.router.ConfirmMembers(time.Now())
+		b.writtenDigest = roster.Digest(c.Members.Present)
 	}
-	b.writtenDigest = roster.Digest(c.Members.Present)
 	b.mutex.Unlock()
 	b.log.Important.Info().
 		Int("balancers", len(c.Balancers)).
 		Int("side_processes", len(c.Members.Present)).
+		Bool("members_current", c.MembersCurrent()).
 		Uint64("store_era", c.Position.Era).
 		Uint64("store_revision", c.Position.Revision).
 		Int64("after_ms", time.Since(b.startedAt).Milliseconds()).
@@ -135,7 +136,7 @@
 // membersToWrite returns the member record to write to the store. changed is true if this
 // balancer writes it for all and the present agents differ from the last record.
 func (b *Balancer) membersToWrite(now time.Time) (m port.Members, changed bool) {
-	if now.Before(b.nextWriteAt) || b.members.Rank(now) != 0 || b.leaving || b.activePlan.Current() == nil {
+	if now.Before(b.nextWriteAt) || b.members.Rank(now) != 0 || b.leaving || b.activePlan.Current() == nil || !b.position.Known() {
 		return m, false
 	}
 	b.nextWriteAt = now.Add(memberWriteInterval)
@@ -144,6 +145,7 @@
 		return m, false
 	}
 	m.Departed = b.members.DepartedAgents()
+	m.Era = b.position.Latest().Era
 	return m, true
 }
 
--- a/internal/relay/plan/position.go
+++ b/internal/relay/plan/position.go
@@ -35,6 +35,11 @@
 	return restored
 }
 
+// Known reports whether the store has answered.
+func (t *Tracker) Known() bool {
+	return t.known
+}
+
 // Latest returns the latest position seen.
 func (t *Tracker) Latest() Position {
 	return t.latest
--- a/internal/relay/port/port.go
+++ b/internal/relay/port/port.go
@@ -54,7 +54,7 @@
 	// Plan is nil if the store has no plan yet.
 	Plan      *plan.Plan
 	Balancers []frame.Host
-	// Members is the member record as last written.
+	// Members is the member record.
 	Members Members
 	// Unreadable holds an error for each item that was skipped.
 	Unreadable []error
@@ -64,12 +64,20 @@
 
 // Members is the member record: the agents of the fleet.
 type Members struct {
+	// Era is the era of the store in which the record was written. In a later one it may
+	// lack agents that joined after the copy that the store came back from.
+	Era uint64
 	// Present are the agents with endpoints that may own flows.
 	Present []frame.Host
 	// Departed are the agents with endpoints that stopped recently.
 	Departed []frame.Host
 }
 
+// MembersCurrent reports whether the member record is the one last written.
+func (c *Contents) MembersCurrent() bool {
+	return len(c.Members.Present) > 0 && c.Members.Era == c.Position.Era
+}
+
 // Store is the platform's store. Each method makes one store call per page of results or
 // batch of writes and does not retry.
 type Store interface {
