--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -143,36 +143,38 @@
 }
 
 // drawLinkFaults draws the faults of the links to the store.
-func drawLinkFaults(seed uint64, span time.Duration) (events []Event) {
+func drawLinkFaults(seed uint64, span time.Duration) []Event {
 	r := rand.New(rand.NewPCG(seed, 1))
-	at := quietMargin
-	for {
-		at += time.Duration(r.Int64N(int64(maxLinkGap)))
-		if at >= span-2*quietMargin-maxDuration {
-			return events
-		}
-		events = append(events, Event{
-			Offset:   at,
+	return drawSeries(r, span, maxLinkGap, func() Event {
+		return Event{
 			Kind:     processKinds + Kind(r.IntN(int(linkKinds-processKinds))),
 			Duration: time.Duration(r.Int64N(int64(maxDuration))),
-		})
-	}
+		}
+	})
 }
 
 // drawRestores draws the restores of the store from an older copy.
-func drawRestores(seed uint64, span time.Duration) (events []Event) {
+func drawRestores(seed uint64, span time.Duration) []Event {
 	r := rand.New(rand.NewPCG(seed, 2))
+	return drawSeries(r, span, maxRestoreGap, func() Event {
+		return Event{
+			Kind:     StoreRestored,
+			Target:   1 + r.IntN(maxLostChanges),
+			Duration: time.Duration(r.Int64N(int64(maxDuration))),
+		}
+	})
+}
+
+// drawSeries draws events at most maxGap apart, each after its offset.
+func drawSeries(r *rand.Rand, span, maxGap time.Duration, draw func() Event) (events []Event) {
 	at := quietMargin
 	for {
-		at += time.Duration(r.Int64N(int64(maxRestoreGap)))
+		at += time.Duration(r.Int64N(int64(maxGap)))
 		if at >= span-2*quietMargin-maxDuration {
 			return events
 		}
-		events = append(events, Event{
-			Offset:   at,
-			Kind:     StoreRestored,
-			Target:   1 + r.IntN(maxLostChanges),
-			Duration: time.Duration(r.Int64N(int64(maxDuration))),
-		})
+		e := draw()
+		e.Offset = at
+		events = append(events, e)
 	}
 }
