trial: choose ports that are free for UDP too and that the kernel does not hand out

The rig looked for a free port with a TCP socket on port 0 and gave it to a process that binds UDP: any socket of the machine could have that port for UDP, then or until the bind. No check is changed.

--- a/internal/trial/procs/fleet_test.go
+++ b/internal/trial/procs/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -96,12 +97,28 @@
 	return f
 }
 
-// freeAddress returns a loopback port that is unused at the moment.
+const (
+	// firstPort and portCount are ports below those that the kernel gives to other sockets.
+	firstPort = 20_000
+	portCount = 10_000
+)
+
+// freeAddress returns a loopback address whose port is free for TCP and UDP. No other socket
+// gets it before the process under test binds it, unless it asks for it by number.
 func freeAddress() netip.AddrPort {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	for {
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+rand.IntN(portCount)))
+		l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(a))
+		if err != nil {
+			continue
+		}
+		u, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+		Expect(l.Close()).To(Succeed())
+		if err == nil {
+			Expect(u.Close()).To(Succeed())
+			return a
+		}
+	}
 }
 
 func (f *fleet) start(name string, command ...string) {
