--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 )
 
 const pageItems = 500
@@ -24,6 +25,9 @@
 	mutex    sync.Mutex
 	items    map[string]item
 	revision uint64
+	// loseWrite is called for each write of the system. If it returns a delay, the write
+	// gets no answer and is done after the delay.
+	loseWrite func(keys []string) (delay time.Duration)
 }
 
 func newStore() *store {
@@ -90,34 +94,56 @@
 	answer(w, http.StatusOK, map[string]any{"items": list, "hasMore": more, "storeRevision": s.revision})
 }
 
+// writeBody is the body of a write.
+type writeBody struct {
+	ExpectedRev []struct {
+		Key      string `json:"key"`
+		Revision uint64 `json:"revision"`
+	} `json:"expectedRev"`
+	Puts []struct {
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+	} `json:"puts"`
+	Remove []string `json:"remove"`
+}
+
 func (s *store) commit(w http.ResponseWriter, q *http.Request) {
-	var body struct {
-		ExpectedRev []struct {
-			Key      string `json:"key"`
-			Revision uint64 `json:"revision"`
-		} `json:"expectedRev"`
-		Puts []struct {
-			Key   string `json:"key"`
-			Value []byte `json:"value"`
-		} `json:"puts"`
-		Remove []string `json:"remove"`
-	}
+	var body writeBody
 	if err := json.NewDecoder(q.Body).Decode(&body); err != nil {
 		answer(w, http.StatusBadRequest, map[string]any{"error": err.Error()})
 		return
 	}
+	var keys []string
+	for _, p := range body.Puts {
+		keys = append(keys, p.Key)
+	}
+	s.mutex.Lock()
+	lose := s.loseWrite
+	s.mutex.Unlock()
+	if lose != nil {
+		if delay := lose(keys); delay > 0 {
+			time.AfterFunc(delay, func() { s.apply(&body) })
+			// The channel stays open without an answer until the caller closes it.
+			<-q.Context().Done()
+			return
+		}
+	}
+	status, result := s.apply(&body)
+	answer(w, status, result)
+}
+
+// apply does a write if its condition holds.
+func (s *store) apply(body *writeBody) (status int, result map[string]any) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, e := range body.ExpectedRev {
 		if s.items[e.Key].Revision != e.Revision {
-			answer(w, http.StatusPreconditionFailed, map[string]any{"items": []item{s.items[e.Key]}})
-			return
+			return http.StatusPreconditionFailed, map[string]any{"items": []item{s.items[e.Key]}}
 		}
 	}
 	for _, p := range body.Puts {
 		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
-			w.WriteHeader(http.StatusForbidden)
-			return
+			return http.StatusForbidden, map[string]any{}
 		}
 	}
 	s.revision++
@@ -127,5 +153,19 @@
 	for _, key := range body.Remove {
 		delete(s.items, key)
 	}
-	answer(w, http.StatusOK, map[string]any{"revision": s.revision})
+	return http.StatusOK, map[string]any{"revision": s.revision}
+}
+
+// get returns the value of an item.
+func (s *store) get(key string) []byte {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.items[key].Value
+}
+
+// setLoseWrite sets the function that decides which writes get no answer.
+func (s *store) setLoseWrite(lose func(keys []string) time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.loseWrite = lose
 }
