admit: let a restarted endpoint decide which flows it holds

Cause: at the first report of a new incarnation the agent dropped its whole flow table. The report says who reports, not when the new incarnation began to accept flows, so the table holds flows of both. Of those that were dropped the agent, which counted its table as complete, denied every idle one conclusively, and the balancer reset it ("unknown_flow, sure", "owner_restarted").

Change: the flows are kept and marked as unverified. They count neither as open nor as in use, as before, until the endpoint sends a packet of them. The next packet of the caller goes to the endpoint: it answers on its own flows and bounces those of the incarnation that ended, which the agent then denies on the endpoint's word. A SYN that is in transit during the report keeps its entry too.

Same cause: the result of a probe was applied whenever it came. A refused connection proves that no flow is left at the time of the probe only; the flows of an incarnation that has started since were dropped. The event carries the time of the probe now, and is ignored if the endpoint has sent a packet after it.

One of them replaces "a new incarnation of the endpoint holds no older flow", which stated the fault: the flow in it was opened before the report, which does not tell by which incarnation.

--- a/internal/relay/admit/controller.go
+++ b/internal/relay/admit/controller.go
@@ -123,8 +123,11 @@
 	StartedAt uint64
 }
 
-// EndpointUnreachable reports that nothing listens at the endpoint's address.
-type EndpointUnreachable struct{}
+// EndpointUnreachable reports that nothing listened at the endpoint's address when it was
+// probed.
+type EndpointUnreachable struct {
+	ProbedAt time.Time
+}
 
 // Tick is due every TickInterval.
 type Tick struct{}
@@ -359,7 +362,7 @@
 	case StateRemembered:
 		h.restoreState(e)
 	case EndpointUnreachable:
-		h.handleUnreachable()
+		h.handleUnreachable(e)
 	case Tick:
 		h.handleTick(now)
 	}
@@ -451,7 +454,7 @@
 func (h *Controller) removeExpired(now time.Time) {
 	h.openFlows = 0
 	for k, f := range h.flows {
-		if f.initialKnown && f.fins == 0 {
+		if f.initialKnown && f.fins == 0 && !f.unverified {
 			h.openFlows++
 		}
 		switch {
--- a/internal/relay/admit/delivery.go
+++ b/internal/relay/admit/delivery.go
@@ -254,7 +254,7 @@
 
 // handleBounce handles a packet that the endpoint did not accept.
 func (h *Controller) handleBounce(now time.Time, b PacketBounced) {
-	h.markAlive()
+	h.markAlive(now)
 	m := &h.deliveries[b.Mark%maxDeliveries]
 	if m.number != b.Mark || m.purpose == 0 || m.key != b.Packet.Key {
 		return
--- a/internal/relay/admit/endpoint.go
+++ b/internal/relay/admit/endpoint.go
@@ -24,6 +24,8 @@
 	// proven is set once anything has arrived from the endpoint in this process's
 	// lifetime.
 	proven bool
+	// heardAt is when the last packet arrived from the endpoint.
+	heardAt time.Time
 	// silent is set when the endpoint has left a SYN unanswered since its last sign of
 	// life.
 	silent bool
@@ -112,13 +114,12 @@
 	h.emitStateChange(before, EndpointReport)
 }
 
-// resetForNewIncarnation resets the state for a new incarnation of the endpoint. The
-// flows of the previous one are gone. If this process saw the previous incarnation, it
-// knows every flow of the new one.
+// resetForNewIncarnation resets the state for a new incarnation of the endpoint. If this
+// process saw the previous incarnation, it knows every flow of the new one.
 func (h *Controller) resetForNewIncarnation(r Report) {
 	e := &h.endpoint
 	if e.reported && e.startedAt != 0 {
-		h.dropFlows()
+		h.markFlowsUnverified()
 		h.averageLoad = 0
 		e.sawAllFlows = true
 	}
@@ -131,6 +132,23 @@
 	e.refusedUntil = time.Time{}
 }
 
+// markFlowsUnverified is called when a new incarnation of the endpoint reports. A flow may
+// belong to the incarnation that ended or, because an endpoint accepts flows before its
+// first report, to the new one; only the endpoint can tell. A flow of the old one ends with
+// the next packet of its caller, which the endpoint bounces. Until the endpoint sends a
+// packet of a flow, the flow counts neither as open nor as in use. SYNs in transit have a
+// timeout of their own.
+func (h *Controller) markFlowsUnverified() {
+	for _, f := range h.flows {
+		if !f.initialKnown {
+			continue
+		}
+		f.unverified = true
+		h.setPhase(f, phaseIdle)
+	}
+	h.openFlows = 0
+}
+
 // dropFlows removes the flows of an endpoint that has ended, and the requests queued on
 // them.
 func (h *Controller) dropFlows() {
@@ -159,10 +177,14 @@
 	h.emitStateChange(before, EndpointRefused)
 }
 
-// handleUnreachable records that nothing listens at the endpoint's address: its flows
-// are gone.
-func (h *Controller) handleUnreachable() {
+// handleUnreachable records that nothing listened at the endpoint's address: its flows
+// are gone. If a packet has arrived from the endpoint since the probe, another incarnation
+// has started meanwhile, whose flows must be kept.
+func (h *Controller) handleUnreachable(u EndpointUnreachable) {
 	e := &h.endpoint
+	if e.heardAt.After(u.ProbedAt) {
+		return
+	}
 	before := e.state()
 	h.dropFlows()
 	e.gone = true
@@ -202,9 +224,10 @@
 	h.emitStateChange(before, reason)
 }
 
-// markAlive records a sign of life of the endpoint.
-func (h *Controller) markAlive() {
+// markAlive records a packet from the endpoint.
+func (h *Controller) markAlive(now time.Time) {
 	e := &h.endpoint
+	e.heardAt = now
 	if !e.silent && e.proven {
 		return
 	}
--- a/internal/relay/admit/flow.go
+++ b/internal/relay/admit/flow.go
@@ -36,6 +36,9 @@
 	queued       bool
 	// adopted is set if the flow was opened before this process started.
 	adopted bool
+	// unverified is set when the endpoint has restarted since its last packet of the flow,
+	// which may have ended with the earlier incarnation.
+	unverified bool
 	// confirmed is set once the caller has acknowledged the endpoint's SYN.
 	confirmed bool
 	// callerEnd is the sequence number after the last byte that the caller has sent,
@@ -156,7 +159,7 @@
 // handlePacketFromEndpoint updates the flow for a packet of the endpoint and sends the
 // packet to the caller. The key of such a packet has the caller as its source.
 func (h *Controller) handlePacketFromEndpoint(now time.Time, a PacketFromEndpoint) {
-	h.markAlive()
+	h.markAlive(now)
 	p := a.Packet
 	if p.IsReset() && h.takeResetAsDenial(p) {
 		return
@@ -173,6 +176,7 @@
 		}
 	}
 	f.keepUntil = now.Add(idleFlowTTL)
+	f.unverified = false
 	switch {
 	case p.Flags&flagSyn != 0:
 		h.recordOpeningAnswer(now, f, p)
--- a/internal/relay/admit/script_test.go
+++ b/internal/relay/admit/script_test.go
@@ -108,7 +108,9 @@
 			StartedAt: uint64(l.Int("born", 0)),
 		}
 	case "dead":
-		return admit.EndpointUnreachable{}
+		return admit.EndpointUnreachable{
+			ProbedAt: time.UnixMilli(int64(l.Int("since", int(l.At.UnixMilli())))).UTC(),
+		}
 	case "owner":
 		return admit.OwnerAnnounced{
 			Owner: frame.Owner{
--- a/internal/relay/agent/packets.go
+++ b/internal/relay/agent/packets.go
@@ -54,6 +54,7 @@
 // probeEndpoint checks whether a process listens at the endpoint's address. Only a refused
 // connection proves that none does; a timeout proves nothing.
 func (a *Agent) probeEndpoint() {
+	start := time.Now()
 	c, err := net.DialTimeout("tcp4", a.settings.Upstream.String(), probeTimeout)
 	if err == nil {
 		_ = c.Close()
@@ -63,7 +64,9 @@
 	a.counts.probes++
 	a.log.Important.Info().Bool("refused", errors.Is(err, syscall.ECONNREFUSED)).AnErr("error", err).Msg("endpoint probed")
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		a.execute(a.controller.Step(time.Now(), admit.EndpointUnreachable{}))
+		a.execute(a.controller.Step(time.Now(), admit.EndpointUnreachable{
+			ProbedAt: start,
+		}))
 	}
 }
 
