admit: take an endpoint's flow table for complete only after a refused connection

Callers saw: an endpoint was added while the clock of its VM was ahead, the clock was set back, and the agent was restarted as planned work.

Cause: the agent compared the start time that the endpoint reports with its own, both read from a wall clock that may be set in between, and took the endpoint for the younger one. From then on it denied unknown flows conclusively instead of asking the endpoint. The cold phase guarded only endpoints that are warm by then. The same trust on a related path: the first report of another incarnation also made the table count as complete, though a report may come late and from an incarnation that has ended.

Change: a start time no longer proves anything about flows. The table counts as complete if the system starts for the first time, or once a connection to the endpoint's address has been refused while this process ran: nothing was listening, so every later flow passes here. An agent tries that once when it starts; the probe of a silent endpoint showed it before. In all other cases the endpoint is asked with the packet, which it bounces. State and the line "agent started" tell saw_all_flows.

"the start time of an endpoint and its cold phase do not show ...", "an endpoint that has accepted a flow before its first report ..." and the changed line of "a balancer's owner query is answered" failed before (flows.txt:167, 173, 150) and pass. They replace the cases "started with its agent", "long enough before its agent" and "is warm by now", which derived the answer from the clock.

--- a/internal/relay/admit/controller.go
+++ b/internal/relay/admit/controller.go
@@ -314,10 +314,11 @@
 	}
 }
 
-// StartedAt sets the wall-clock time at which this process started.
-func StartedAt(wall time.Time) Option {
+// EndpointAbsent declares that nothing listened at the endpoint's address when this process
+// started: no flow of the endpoint is older than this process.
+func EndpointAbsent() Option {
 	return func(h *Controller) {
-		h.endpoint.processStartedAt = uint64(wall.UnixMilli())
+		h.endpoint.sawAllFlows = true
 	}
 }
 
@@ -398,6 +399,12 @@
 	return h.inUse
 }
 
+// SawAllFlows reports whether every flow that the endpoint may hold has passed this
+// process, so that the endpoint need not be asked whether it holds an unknown one.
+func (h *Controller) SawAllFlows() bool {
+	return h.endpoint.sawAllFlows
+}
+
 // Flows returns the number of known flows.
 func (h *Controller) Flows() int {
 	return len(h.flows)
--- a/internal/relay/admit/endpoint.go
+++ b/internal/relay/admit/endpoint.go
@@ -35,10 +35,9 @@
 	refusedUntil   time.Time
 	// awaitsReport is set when the endpoint gets no flow before its first report.
 	awaitsReport bool
-	// processStartedAt is when this process started, in Unix milliseconds; 0 is unknown.
-	processStartedAt uint64
 	// sawAllFlows is set when every flow that the endpoint may hold has passed this
-	// process.
+	// process: at some time since its start nothing listened at the endpoint's address.
+	// The endpoint's start time cannot show this, since the wall clock may have been set.
 	sawAllFlows bool
 	coldUntil   time.Time
 }
@@ -57,19 +56,6 @@
 	}
 }
 
-// minRestartDelay is the shortest time that a restarted agent is away.
-const minRestartDelay = 150 * time.Millisecond
-
-// startedWithProcess reports whether the endpoint started together with or after this
-// process, so that every flow it holds has passed here. Both start together when a VM
-// boots. An endpoint that started less than minRestartDelay before this process has had
-// no previous agent process. The wall clock may have been set back in between, so an
-// endpoint that is no longer cold counts as started before this process.
-func (e *endpoint) startedWithProcess(now time.Time, r Report) bool {
-	earliestRestart := r.StartedAt + uint64(minRestartDelay.Milliseconds())
-	return e.processStartedAt != 0 && earliestRestart > e.processStartedAt && r.ColdUntil.After(now)
-}
-
 func (h *Controller) emitStateChange(before node.State, reason Reason) {
 	if after := h.endpoint.state(); after != before {
 		h.emit(StateChanged{
@@ -93,9 +79,6 @@
 	if r.StartedAt > e.startedAt {
 		h.resetForNewIncarnation(r)
 	}
-	if !e.reported && e.startedWithProcess(now, r) {
-		e.sawAllFlows = true
-	}
 	if e.left && r.ID == e.id {
 		return
 	}
@@ -114,14 +97,12 @@
 	h.emitStateChange(before, EndpointReport)
 }
 
-// resetForNewIncarnation resets the state for a new incarnation of the endpoint. If this
-// process saw the previous incarnation, it knows every flow of the new one.
+// resetForNewIncarnation resets the state for a new incarnation of the endpoint.
 func (h *Controller) resetForNewIncarnation(r Report) {
 	e := &h.endpoint
 	if e.reported && e.startedAt != 0 {
 		h.markFlowsUnverified()
 		h.averageLoad = 0
-		e.sawAllFlows = true
 	}
 	e.startedAt = r.StartedAt
 	e.sequence = 0
--- a/internal/relay/admit/script_test.go
+++ b/internal/relay/admit/script_test.go
@@ -47,12 +47,13 @@
 )
 
 func runCase(c script.Case) {
-	options := []admit.Option{
-		admit.StartedAt(time.UnixMilli(1_700_000_000_000)),
-	}
+	var options []admit.Option
 	if strings.Contains(c.Name, "[first start]") {
 		options = append(options, admit.FirstStart())
 	}
+	if strings.Contains(c.Name, "[endpoint absent]") {
+		options = append(options, admit.EndpointAbsent())
+	}
 	h := admit.New(self, service, options...)
 	for i := range c.Lines {
 		l := &c.Lines[i]
--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -101,9 +101,11 @@
 	for _, o := range options {
 		o(a)
 	}
-	controllerOptions := []admit.Option{admit.StartedAt(a.startedAt)}
+	var controllerOptions []admit.Option
 	if s.FirstStart {
 		controllerOptions = append(controllerOptions, admit.FirstStart())
+	} else if a.endpointRefuses() {
+		controllerOptions = append(controllerOptions, admit.EndpointAbsent())
 	}
 	a.controller = admit.New(a.self, s.Service, controllerOptions...)
 	if a.inner, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(s.Address, s.InnerPort))); err != nil {
@@ -136,7 +138,11 @@
 	w.Go(func() { a.readOutbound() })
 	w.Go(func() { a.findBalancers(ctx) })
 	w.Go(func() { a.runTicker(ctx) })
-	a.log.Important.Info().Str("address", a.self.String()).Str("service", a.settings.Service).Msg("agent started")
+	a.log.Important.Info().
+		Str("address", a.self.String()).
+		Str("service", a.settings.Service).
+		Bool("saw_all_flows", a.controller.SawAllFlows()).
+		Msg("agent started")
 	<-stop.Done()
 	a.drain()
 	cancel()
--- a/internal/relay/agent/packets.go
+++ b/internal/relay/agent/packets.go
@@ -51,19 +51,26 @@
 	})
 }
 
-// probeEndpoint checks whether a process listens at the endpoint's address. Only a refused
-// connection proves that none does; a timeout proves nothing.
-func (a *Agent) probeEndpoint() {
-	start := time.Now()
+// endpointRefuses reports whether the endpoint's address refuses connections. Only a refused
+// connection proves that no process listens there; a timeout proves nothing.
+func (a *Agent) endpointRefuses() (refused bool) {
 	c, err := net.DialTimeout("tcp4", a.settings.Upstream.String(), probeTimeout)
 	if err == nil {
 		_ = c.Close()
 	}
+	refused = errors.Is(err, syscall.ECONNREFUSED)
+	a.log.Important.Info().Bool("refused", refused).AnErr("error", err).Msg("endpoint probed")
+	return refused
+}
+
+// probeEndpoint checks whether a process listens at the endpoint's address.
+func (a *Agent) probeEndpoint() {
+	start := time.Now()
+	refused := a.endpointRefuses()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.counts.probes++
-	a.log.Important.Info().Bool("refused", errors.Is(err, syscall.ECONNREFUSED)).AnErr("error", err).Msg("endpoint probed")
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	if refused {
 		a.execute(a.controller.Step(time.Now(), admit.EndpointUnreachable{
 			ProbedAt: start,
 		}))
--- a/internal/relay/agent/state.go
+++ b/internal/relay/agent/state.go
@@ -86,13 +86,15 @@
 
 // State is the published state of an agent.
 type State struct {
-	Service   string   `json:"service"`
-	State     string   `json:"state"`
-	Born      uint64   `json:"born"`
-	Slots     uint16   `json:"slots"`
-	InUse     int      `json:"in_use"`
-	Flows     int      `json:"flows"`
-	Balancers []string `json:"balancers"`
+	Service string `json:"service"`
+	State   string `json:"state"`
+	Born    uint64 `json:"born"`
+	Slots   uint16 `json:"slots"`
+	InUse   int    `json:"in_use"`
+	Flows   int    `json:"flows"`
+	// SawAllFlows reports whether the endpoint holds no flow from before this process.
+	SawAllFlows bool     `json:"saw_all_flows"`
+	Balancers   []string `json:"balancers"`
 }
 
 // State returns the agent's current state.
@@ -107,6 +109,8 @@
 		Slots:   l.Slots,
 		InUse:   a.controller.InUse(),
 		Flows:   a.controller.Flows(),
+
+		SawAllFlows: a.controller.SawAllFlows(),
 	}
 	for _, h := range a.balancers.Hosts() {
 		s.Balancers = append(s.Balancers, h.String())
