admit: tell incarnations of an endpoint apart by identity, not by start time

Callers saw: an endpoint started while the clock of its VM was ahead, the clock was set back, the endpoint crashed and started again.

Cause: a report with an earlier start time than the one held was taken for a late one of an ended incarnation and ignored, for good, and acknowledged all the same. The start time is read from a wall clock that may be set: it tells incarnations apart, but does not order them. Balancers did the same with the agent's load reports.

Change: an incarnation is its ID and start time. One with a later start time is believed at once, as before, unless another has replaced it. Any other is believed at once if the current one is known to have ended; otherwise when it reports again after the current one has missed two reports and the time-out of a third, since only the incarnation that runs keeps reporting. So a late report cannot win over an endpoint that runs, and if its start time is the later one, the running endpoint gets its place back. A report or notice without effect is answered with 503, counted (endpoint_reports_refused) and logged; the endpoint reports again. The interval of reports becomes a setting, report_interval_ms.

Same cause: a state that balancers remember made reports with an earlier start time invalid for a restarted agent. A notice that an endpoint stops named an ID only: before the first report it ended any endpoint, and after it the ID was ignored for good, also if the endpoint had started again under it; balancers then reset the flows of an endpoint that runs. Now it ends the admission of flows until the first report, and an endpoint that keeps reporting after it is believed. Balancers order the load reports of a process by their numbers alone.

--- a/internal/conf/relay/relay.go
+++ b/internal/conf/relay/relay.go
@@ -39,7 +39,9 @@
 	Seeds    []netip.AddrPort
 	Service  string
 	Upstream netip.AddrPort
-	Store    netip.AddrPort
+	// ReportInterval is the interval at which the upstream reports.
+	ReportInterval time.Duration
+	Store          netip.AddrPort
 	// ShutdownTimeout is how long a process may continue after SIGTERM.
 	ShutdownTimeout time.Duration
 }
@@ -52,6 +54,9 @@
 	wordFalse = "false"
 
 	maxGraceSeconds = 3600
+
+	defaultReportMillis = 1200
+	maxReportMillis     = 3_600_000
 )
 
 // ReadBalancer reads the settings of a balancer.
@@ -88,6 +93,11 @@
 		e := d.Section("endpoint")
 		s.Service, _ = e.Required("service", "the name of a service")
 		s.Upstream = e.Address("address")
+		s.ReportInterval = time.Duration(e.Number("report_interval_ms", lines.Limits{
+			Min:     1,
+			Max:     maxReportMillis,
+			Default: defaultReportMillis,
+		})) * time.Millisecond
 	}
 	if err = d.Err(); err != nil {
 		return Settings{}, err
--- a/internal/conf/relay/relay_test.go
+++ b/internal/conf/relay/relay_test.go
@@ -30,6 +30,7 @@
 		Expect(s.ShutdownTimeout).To(Equal(6 * time.Second))
 		Expect(s.InnerPort).To(Equal(uint16(7720)))
 		Expect(s.Seeds).To(BeEmpty())
+		Expect(s.ReportInterval).To(Equal(1200 * time.Millisecond))
 		_, err = relay.Parse("node.ini", string(text), "balancer")
 		Expect(err).NotTo(HaveOccurred())
 	})
@@ -37,6 +38,8 @@
 	It("lists every fault with file, line and key", func() {
 		bad := strings.NewReplacer("grace_seconds = 6", "grace_seconds = soon", "zone = nord\n", "", "ready = 127.0.0.1:8167", "ready = here").Replace(string(text))
 		_, err := relay.Parse("node.ini", bad, "balancer")
+		_, agentErr := relay.Parse("node.ini", strings.Replace(string(text), "report_interval_ms = 1200", "report_interval_ms = 0", 1), "agent")
+		Expect(agentErr).To(MatchError(ContainSubstring(`[endpoint] report_interval_ms: bad value "0"`)))
 		Expect(err).To(MatchError(And(
 			ContainSubstring(`node.ini:10: [process] grace_seconds: bad value "soon"`),
 			ContainSubstring("[process] zone: key is missing"),
--- a/internal/relay/admit/controller.go
+++ b/internal/relay/admit/controller.go
@@ -154,7 +154,7 @@
 
 // Action is Deliver, ForwardToCandidate, ReturnToBalancer, AnnounceOwner, DenyOwnership,
 // RequestQueued, RequestAbandoned, SendToCaller, FlowAccepted, RequestStarted,
-// RequestAnswered or StateChanged.
+// RequestAnswered, ReportRefused or StateChanged.
 type Action interface{ action() }
 
 // Deliver sends a packet to the endpoint. The packet comes back with Mark if it bounces.
@@ -322,6 +322,13 @@
 	}
 }
 
+// WithReportInterval sets the interval at which endpoints report.
+func WithReportInterval(interval time.Duration) Option {
+	return func(h *Controller) {
+		h.endpoint.reportInterval = interval
+	}
+}
+
 // New returns a Controller for an endpoint of the service, run by the agent at self.
 func New(self frame.Host, service string, options ...Option) *Controller {
 	h := &Controller{
@@ -334,6 +341,7 @@
 		serviceTime:  initialServiceTime,
 	}
 	h.endpoint.slots = 1
+	h.endpoint.reportInterval = defaultReportInterval
 	for _, o := range options {
 		o(h)
 	}
@@ -357,7 +365,7 @@
 	case ReportReceived:
 		h.handleReport(now, e.Report)
 	case EndpointStopped:
-		h.handleEndpointStopped(e.ID)
+		h.handleEndpointStopped(now, e.ID)
 	case StopAccepting:
 		h.endpoint.leaving = true
 	case StateRemembered:
--- a/internal/relay/admit/endpoint.go
+++ b/internal/relay/admit/endpoint.go
@@ -4,15 +4,20 @@
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/world/node"
-	"github.com/clementinewing/clementinewing/internal/world/spec"
 )
 
 // endpoint is what is known of the endpoint beside this agent.
 type endpoint struct {
-	id        string
-	startedAt uint64
-	sequence  uint64
-	slots     uint16
+	incarnation
+	// ended are incarnations that were replaced by another one, the latest last.
+	ended []incarnation
+	// claim is the pending claim of another incarnation, or of one that announced that it
+	// stops. claimableAt is when the current incarnation has missed its reports.
+	claim          claim
+	claimableAt    time.Time
+	reportInterval time.Duration
+	sequence       uint64
+	slots          uint16
 	// reported is set once the endpoint has reported to this process.
 	reported bool
 	draining bool
@@ -65,54 +70,6 @@
 	}
 }
 
-// handleReport applies a report of the endpoint. Reports of an earlier incarnation and
-// reports that arrive out of order are ignored.
-func (h *Controller) handleReport(now time.Time, r Report) {
-	e := &h.endpoint
-	before := e.state()
-	if e.startedAt != 0 && r.StartedAt < e.startedAt {
-		return
-	}
-	if e.reported && r.StartedAt == e.startedAt && r.Sequence <= e.sequence {
-		return
-	}
-	if r.StartedAt > e.startedAt {
-		h.resetForNewIncarnation(r)
-	}
-	if e.left && r.ID == e.id {
-		return
-	}
-	e.gone = false
-	e.left = false
-	e.id = r.ID
-	e.sequence = r.Sequence
-	e.slots = max(r.Slots, 1)
-	e.draining = r.Draining
-	e.coldUntil = r.ColdUntil
-	e.reported = true
-	e.proven = true
-	e.silent = false
-	e.refusedOpening = false
-	h.service = spec.NewServiceID(r.Service)
-	h.emitStateChange(before, EndpointReport)
-}
-
-// resetForNewIncarnation resets the state for a new incarnation of the endpoint.
-func (h *Controller) resetForNewIncarnation(r Report) {
-	e := &h.endpoint
-	if e.reported && e.startedAt != 0 {
-		h.markFlowsUnverified()
-		h.averageLoad = 0
-	}
-	e.startedAt = r.StartedAt
-	e.sequence = 0
-	e.draining = false
-	e.gone = false
-	e.left = false
-	e.refusedOpening = false
-	e.refusedUntil = time.Time{}
-}
-
 // markFlowsUnverified is called when a new incarnation of the endpoint reports. A flow may
 // belong to the incarnation that ended or, because an endpoint accepts flows before its
 // first report, to the new one; only the endpoint can tell. A flow of the old one ends with
@@ -173,18 +130,6 @@
 	h.emitStateChange(before, NotListening)
 }
 
-func (h *Controller) handleEndpointStopped(id string) {
-	e := &h.endpoint
-	before := e.state()
-	if e.reported && e.id != id {
-		return
-	}
-	e.gone = true
-	e.left = true
-	e.id = id
-	h.emitStateChange(before, EndpointLeft)
-}
-
 // restoreState applies the state that balancers recorded before this process started,
 // until the endpoint reports: an endpoint that was draining gets no new flows.
 func (h *Controller) restoreState(t StateRemembered) {
@@ -194,7 +139,7 @@
 	}
 	before := e.state()
 	e.draining = true
-	e.startedAt = max(e.startedAt, t.StartedAt)
+	e.startedAt = t.StartedAt
 	h.emitStateChange(before, BalancerMemory)
 }
 
--- /dev/null
+++ b/internal/relay/admit/report.go
@@ -0,0 +1,141 @@
+package admit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/world/spec"
+)
+
+const (
+	// defaultReportInterval is the interval of an endpoint's reports unless WithReportInterval
+	// sets it.
+	defaultReportInterval = 1200 * time.Millisecond
+	// reportTimeout is how long an endpoint waits for the answer to a report.
+	reportTimeout = time.Second
+	// maxEnded bounds the ended incarnations that are kept.
+	maxEnded = 8
+)
+
+// incarnation identifies one start of an endpoint. Its start time tells incarnations apart,
+// but may not order them: the wall clock that it was read from may have been set back.
+type incarnation struct {
+	id        string
+	startedAt uint64
+}
+
+// claim is a pending claim of an incarnation to be the one that runs.
+type claim struct {
+	incarnation
+	sequence uint64
+	// acceptAt is from when on a further report proves the claim.
+	acceptAt time.Time
+}
+
+// ReportRefused reports that a report or a notice of the endpoint had no effect and must not
+// be acknowledged: it may come from an incarnation that has ended.
+type ReportRefused struct {
+	ID        string
+	StartedAt uint64
+}
+
+func (ReportRefused) action() {}
+
+// handleReport applies a report of the endpoint.
+func (h *Controller) handleReport(now time.Time, r Report) {
+	e := &h.endpoint
+	before := e.state()
+	x := incarnation{
+		id:        r.ID,
+		startedAt: r.StartedAt,
+	}
+	switch runs := e.reported && !e.left && x == e.incarnation; {
+	case runs && r.Sequence <= e.sequence:
+		// A later report of the same incarnation has been applied.
+		return
+	case !runs && !e.replacedBy(now, x, r.Sequence):
+		h.emit(ReportRefused{
+			ID:        r.ID,
+			StartedAt: r.StartedAt,
+		})
+		return
+	case !runs:
+		h.startIncarnation(x)
+	}
+	e.gone = false
+	e.left = false
+	e.sequence = r.Sequence
+	e.slots = max(r.Slots, 1)
+	e.draining = r.Draining
+	e.coldUntil = r.ColdUntil
+	e.reported = true
+	e.proven = true
+	e.silent = false
+	e.refusedOpening = false
+	e.claim = claim{}
+	e.claimableAt = now.Add(2*e.reportInterval + reportTimeout)
+	h.service = spec.NewServiceID(r.Service)
+	h.emitStateChange(before, EndpointReport)
+}
+
+// replacedBy reports whether another incarnation is the one that runs. Its start time shows
+// this if it is later, unless that incarnation has been replaced before. Otherwise the report
+// may be a late one of an incarnation that has ended. The current one may be known to have
+// ended. If not, only the one that runs keeps reporting: another takes its place once the
+// current one has missed its reports and the other has reported again.
+func (e *endpoint) replacedBy(now time.Time, x incarnation, sequence uint64) bool {
+	switch {
+	case !e.reported:
+		return true
+	case x != e.incarnation && !slices.Contains(e.ended, x) && (e.gone || x.startedAt > e.startedAt):
+		return true
+	case x != e.claim.incarnation:
+		e.claim = claim{
+			incarnation: x,
+			sequence:    sequence,
+			acceptAt:    now.Add(e.reportInterval),
+		}
+		return false
+	case sequence <= e.claim.sequence:
+		return false
+	}
+	e.claim.sequence = sequence
+	return !now.Before(e.claim.acceptAt) && !now.Before(e.claimableAt)
+}
+
+// startIncarnation resets the state for another incarnation of the endpoint.
+func (h *Controller) startIncarnation(x incarnation) {
+	e := &h.endpoint
+	if e.reported {
+		h.markFlowsUnverified()
+		h.averageLoad = 0
+		e.ended = append(e.ended, e.incarnation)
+		e.ended = e.ended[max(0, len(e.ended)-maxEnded):]
+	}
+	e.incarnation = x
+	e.sequence = 0
+	e.refusedUntil = time.Time{}
+}
+
+// handleEndpointStopped applies the endpoint's notice that it stops. Before the first report
+// the notice may be a late one of an earlier incarnation, so the endpoint only gets no new
+// flows until it reports.
+func (h *Controller) handleEndpointStopped(now time.Time, id string) {
+	e := &h.endpoint
+	before := e.state()
+	switch {
+	case !e.reported:
+		e.draining = true
+	case e.id != id:
+		h.emit(ReportRefused{
+			ID: id,
+		})
+		return
+	default:
+		e.gone = true
+		e.left = true
+		e.claim = claim{}
+		e.claimableAt = now.Add(2*e.reportInterval + reportTimeout)
+	}
+	h.emitStateChange(before, EndpointLeft)
+}
--- a/internal/relay/admit/script_test.go
+++ b/internal/relay/admit/script_test.go
@@ -268,6 +268,8 @@
 		return "request"
 	case admit.RequestAnswered:
 		return "served"
+	case admit.ReportRefused:
+		return fmt.Sprintf("refuse report of %s", a.ID)
 	case admit.StateChanged:
 		return fmt.Sprintf("now %s, %s", a.State, a.Reason)
 	default:
--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -101,7 +101,7 @@
 	for _, o := range options {
 		o(a)
 	}
-	var controllerOptions []admit.Option
+	controllerOptions := []admit.Option{admit.WithReportInterval(s.ReportInterval)}
 	if s.FirstStart {
 		controllerOptions = append(controllerOptions, admit.FirstStart())
 	} else if a.endpointRefuses() {
--- a/internal/relay/agent/packets.go
+++ b/internal/relay/agent/packets.go
@@ -161,14 +161,14 @@
 			a.counts.abandoned++
 			a.logRequestAbandoned(x)
 		case admit.FlowAccepted:
-			a.counts.accepted++
-			a.recordLatency(LatencyOpening, x.Latency)
-			a.logAccepted(x)
+			a.recordAccepted(x)
 		case admit.RequestStarted:
 			a.counts.requests++
 			a.logRequestStarted(x)
 		case admit.RequestAnswered:
 			a.recordLatency(LatencyRequest, x.Latency)
+		case admit.ReportRefused:
+			a.recordReportRefused(x)
 		case admit.StateChanged:
 			a.logStateChange(x)
 			a.sendReportsNow()
--- a/internal/relay/agent/serve.go
+++ b/internal/relay/agent/serve.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/relay/admit"
@@ -43,23 +44,34 @@
 	return closers, nil
 }
 
-// Report handles a report of the endpoint.
-func (a *Agent) Report(r admit.Report) {
+// Report handles a report of the endpoint. It reports whether the report took effect.
+func (a *Agent) Report(r admit.Report) (applied bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.counts.reports++
-	a.execute(a.controller.Step(time.Now(), admit.ReportReceived{
+	return a.applyReport(admit.ReportReceived{
 		Report: r,
-	}))
+	})
 }
 
-// Left handles the endpoint's notice that it stops.
-func (a *Agent) Left(id string) {
+// Left handles the endpoint's notice that it stops. It reports whether the notice took
+// effect.
+func (a *Agent) Left(id string) (applied bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.execute(a.controller.Step(time.Now(), admit.EndpointStopped{
+	return a.applyReport(admit.EndpointStopped{
 		ID: id,
-	}))
+	})
+}
+
+func (a *Agent) applyReport(e admit.Event) (applied bool) {
+	actions := a.controller.Step(time.Now(), e)
+	refused := slices.ContainsFunc(actions, func(x admit.Action) bool {
+		_, is := x.(admit.ReportRefused)
+		return is
+	})
+	a.execute(actions)
+	return !refused
 }
 
 // Malformed logs a report that cannot be decoded.
@@ -89,7 +101,9 @@
 		Msg("packet returned to balancer")
 }
 
-func (a *Agent) logAccepted(x admit.FlowAccepted) {
+func (a *Agent) recordAccepted(x admit.FlowAccepted) {
+	a.counts.accepted++
+	a.recordLatency(LatencyOpening, x.Latency)
 	a.log.Routine.Info().
 		Str("flow", x.Key.String()).
 		Int("in_use", x.InUse).
@@ -124,6 +138,15 @@
 		Msg("queued request abandoned by its caller; it was not run")
 }
 
+func (a *Agent) recordReportRefused(r admit.ReportRefused) {
+	a.counts.reportsRefused++
+	a.log.Important.Warn().
+		Str("id", r.ID).
+		Uint64("born", r.StartedAt).
+		Uint64("current_born", a.controller.Load(time.Now()).StartedAt).
+		Msg("report refused: it may come from an endpoint that has ended")
+}
+
 func (a *Agent) logStateChange(c admit.StateChanged) {
 	a.log.Important.Info().
 		Str("state", c.State.String()).
--- a/internal/relay/agent/state.go
+++ b/internal/relay/agent/state.go
@@ -33,19 +33,21 @@
 
 // counts holds the counters of an agent.
 type counts struct {
-	arrived       uint64
-	accepted      uint64
-	requests      uint64
-	queued        uint64
-	abandoned     uint64
-	reports       uint64
-	probes        uint64
-	malformed     uint64
-	sendErrors    uint64
-	storeCalls    uint64
-	storeFailures uint64
-	forwarded     [maxReasons]uint64
-	returned      [maxReasons]uint64
+	arrived   uint64
+	accepted  uint64
+	requests  uint64
+	queued    uint64
+	abandoned uint64
+	reports   uint64
+	// reportsRefused counts reports and notices that were not acknowledged.
+	reportsRefused uint64
+	probes         uint64
+	malformed      uint64
+	sendErrors     uint64
+	storeCalls     uint64
+	storeFailures  uint64
+	forwarded      [maxReasons]uint64
+	returned       [maxReasons]uint64
 }
 
 // maxReasons is the length of arrays that are indexed by admit.Reason.
@@ -63,6 +65,7 @@
 		{Name: "requests_held", Value: c.queued},
 		{Name: "requests_given_up", Value: c.abandoned},
 		{Name: "endpoint_reports", Value: c.reports},
+		{Name: "endpoint_reports_refused", Value: c.reportsRefused},
 		{Name: "endpoint_probes", Value: c.probes},
 		{Name: "malformed", Value: c.malformed},
 		{Name: "send_errors", Value: c.sendErrors},
--- a/internal/relay/port/port.go
+++ b/internal/relay/port/port.go
@@ -100,10 +100,11 @@
 
 // ReportReceiver receives the reports of an endpoint.
 type ReportReceiver interface {
-	// Report handles a report.
-	Report(r admit.Report)
-	// Left handles the endpoint's notice that it stops.
-	Left(id string)
+	// Report handles a report. A report that was not applied must not be acknowledged.
+	Report(r admit.Report) (applied bool)
+	// Left handles the endpoint's notice that it stops. A notice that was not applied must
+	// not be acknowledged.
+	Left(id string) (applied bool)
 	// Malformed logs a report that cannot be decoded and changes no state.
 	Malformed(err error)
 }
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -98,16 +98,15 @@
 	}
 }
 
-// ApplyReport applies a load report. It reports whether more than the load changed: a new
+// ApplyReport applies a load report. The reports of one process are ordered by their
+// numbers; the start time of the endpoint does not order them, since the wall clock that it
+// was read from may have been set back. ApplyReport reports whether more than the load changed: a new
 // member, or another state, service or incarnation.
 func (r *Roster) ApplyReport(now time.Time, l frame.LoadReport) (changed bool) {
 	s, ok := r.agents[l.Host]
 	if ok && s.Process == l.Process && l.Sequence <= s.Sequence {
 		return false
 	}
-	if ok && isOlder(l, s.LoadReport) {
-		return false
-	}
 	if !ok {
 		s = &Agent{
 			joinedAt: now,
@@ -144,11 +143,6 @@
 	return changed
 }
 
-// isOlder reports whether a report is from an earlier incarnation of the endpoint.
-func isOlder(l, held frame.LoadReport) bool {
-	return l.Process == held.Process && l.StartedAt != 0 && l.StartedAt < held.StartedAt
-}
-
 func (r *Roster) addToService(s *Agent) {
 	r.services[s.Service] = withAgent(r.services[s.Service], s)
 }
