router: do not take the member record for the complete list of members

Callers saw: all balancers were restarted as planned work while an endpoint was added.

Cause: a balancer that had read a member record of the store's current era counted the members as complete as soon as all of the record had reported, milliseconds after its start. The record tells who was a member when it was written. Agents that joined later are not in it and come with their regular report only, up to an interval later; until then two lookups that all others deny, 50 ms apart, reset the flow.

Change: the record, like the lists of other balancers, names members to expect and to greet, and nothing more. Members count as complete only once every agent has had time to report to this balancer, 600 ms after its start as for one without a record. With many balancers agents report less often, so the wait is at least their interval and delay (900 ms from 24 balancers on): the constant alone was too short there. Until then a lookup without an owner is repeated; a flow without an owner is still reset, after that time.

--- a/internal/relay/entry/store.go
+++ b/internal/relay/entry/store.go
@@ -102,7 +102,6 @@
 		b.send(h, heartbeat)
 	}
 	if c.MembersCurrent() {
-		b.router.ConfirmMembers(time.Now())
 		b.writtenDigest = roster.Digest(c.Members.Present)
 	}
 	b.mutex.Unlock()
--- a/internal/relay/fault/deployment_test.go
+++ b/internal/relay/fault/deployment_test.go
@@ -223,7 +223,6 @@
 	}
 	if len(present) > 0 {
 		b.members.ApplyRecord(d.clock.Now(), present, nil)
-		b.router.ConfirmMembers(d.clock.Now())
 	}
 }
 
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -324,9 +324,13 @@
 // all balancers.
 func (r *Roster) MembersComplete(now time.Time) bool {
 	r.expireExpected(now)
-	// The interval between two reports of an agent to a balancer, and their delay.
-	knownDelay := ReportInterval(len(r.balancers)+1) + reportDelay
-	return len(r.expected) == 0 && now.After(r.lastJoinAt.Add(knownDelay))
+	return len(r.expected) == 0 && now.After(r.lastJoinAt.Add(r.JoinDelay()))
+}
+
+// JoinDelay returns the time in which an agent that has joined reports to every balancer: the
+// interval between two of its reports and their delay.
+func (r *Roster) JoinDelay() time.Duration {
+	return ReportInterval(len(r.balancers)+1) + reportDelay
 }
 
 // ApplyHeartbeat applies a heartbeat and reports whether the balancer is new or has
--- a/internal/relay/router/lookup.go
+++ b/internal/relay/router/lookup.go
@@ -117,7 +117,7 @@
 	hash := key.Hash()
 	isolated := g.members.Isolated(now)
 	list = place.OwnerCandidates(now, hash, isolated, g.members.Agents(), route.Services(hash))
-	complete = !isolated && g.members.MembersComplete(now) && !now.Before(g.membersKnownAt)
+	complete = !isolated && g.members.MembersComplete(now) && g.membersKnown(now)
 	return list, complete
 }
 
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -39,9 +39,9 @@
 	// retryDelay is the delay before an inconclusive lookup is repeated: an endpoint did
 	// not answer, or the candidate list was not complete.
 	retryDelay = 150 * time.Millisecond
-	// membersKnownDelay is how long after its start a balancer that was given no member
-	// list may first count the members that have reported as complete: two load reports of
-	// an agent.
+	// membersKnownDelay is the least time after its start from which a balancer may count
+	// the members that have reported as complete: two load reports of an agent. A list of
+	// members that it was given does not show that no other agent has joined since.
 	membersKnownDelay = 600 * time.Millisecond
 	// noOwnerTTL is how long a flow stays marked as having no owner. Its caller gives
 	// up within seconds.
@@ -181,11 +181,9 @@
 	queries    []*query
 	queryCount uint32
 	// loads caches the average load of each service.
-	loads map[spec.ServiceID]serviceLoad
-	// membersKnownAt is when the member list may first count as complete.
-	membersKnownAt time.Time
-	sweepAt        time.Time
-	actions        []Action
+	loads   map[spec.ServiceID]serviceLoad
+	sweepAt time.Time
+	actions []Action
 }
 
 // New returns the state machine of the balancer at self, which started at the given time.
@@ -198,17 +196,12 @@
 		active:    active,
 		flows:     map[link.Key]*flow{},
 		loads:     map[spec.ServiceID]serviceLoad{},
-
-		membersKnownAt: startedAt.Add(membersKnownDelay),
 	}
 }
 
-// ConfirmMembers records that the balancer was given the list of members, so that from now on
-// it knows which of them have not reported yet.
-func (g *Router) ConfirmMembers(now time.Time) {
-	if now.Before(g.membersKnownAt) {
-		g.membersKnownAt = now
-	}
+// membersKnown reports whether every agent has had time to report to this balancer.
+func (g *Router) membersKnown(now time.Time) bool {
+	return !now.Before(g.startedAt.Add(max(membersKnownDelay, g.members.JoinDelay())))
 }
 
 // Flows returns the size of the flow table.
--- a/internal/relay/router/script_test.go
+++ b/internal/relay/router/script_test.go
@@ -21,11 +21,11 @@
 
 // Hosts are small numbers; this balancer is 90. A flow is named by its caller's port.
 // Ports 443 to 445 are routes to the services rota, sheets and both. Events are plan,
-// load, loads, settle, named, syn, ack, data, fin, rst, owner, denied, walked, walkedack,
+// load, loads, written, balancers, named, syn, ack, data, fin, rst, owner, denied, walked, walkedack,
 // walkedfin, denials, rejected and tick; walked is a packet returned after the whole
 // candidate list, denied one returned by the supposed owner.
 //
-// Words of the scripts and what they stand for: settle ConfirmMembers, named ExpectAgent,
+// Words of the scripts and what they stand for: written ApplyRecord, named ExpectAgent,
 // settled ListComplete, unsure CandidateSilent, sure Conclusive, leg LookupStage, ask
 // OwnerQuery.
 var _ = Describe("Guide", func() {
@@ -84,8 +84,17 @@
 		w.reports++
 		w.members.ApplyReport(l.At, newLoad(l, w.reports))
 		return nil
-	case "settle":
-		w.router.ConfirmMembers(l.At)
+	case "written":
+		var present []frame.Host
+		for _, n := range l.Ints("present") {
+			present = append(present, frame.Host(n))
+		}
+		w.members.ApplyRecord(l.At, present, nil)
+		return nil
+	case "balancers":
+		for i := range l.Int("count", 0) {
+			w.members.AddBalancer(l.At, self+frame.Host(1+i))
+		}
 		return nil
 	case "named":
 		w.members.ExpectAgent(l.At, frame.Host(l.Int("host", 0)))
