entry: write the member record on condition of the revision that it replaces

Callers saw: a write of the member record got no answer and was done seconds later, over newer ones.

Cause: the record was written without a condition, so a late write won, and balancers compared the members with the last write that was answered instead of with what the store holds, so nothing corrected it until the members changed.

Change: a write has the condition that the store holds the revision that the balancer has seen last, so any write makes earlier ones that are still pending fail. If the condition fails, the balancer learns the current revision from the answer and writes again a second later. It also writes if the members are as before, but a write had no answer, the store may have come back from an older copy, or it has just taken over the work: its predecessor's last write may be pending. The decisions are a state machine of their own (roster.Record).

--- a/internal/relay/entry/entry.go
+++ b/internal/relay/entry/entry.go
@@ -63,10 +63,7 @@
 	members      *roster.Roster
 	pollSchedule plan.PollSchedule
 	position     plan.Tracker
-	// writtenDigest is the digest of the present agents in the last member record, or that
-	// of none if the store may have lost the record.
-	writtenDigest uint64
-	nextWriteAt   time.Time
+	record       roster.Record
 	// registered reports that the balancer directory contains this balancer.
 	registered          bool
 	storeLost           bool
@@ -203,9 +200,10 @@
 			b.removeSilentMembers(now)
 		}
 		b.updateReady(now)
-		poll := b.pollSchedule.StartPoll(now, b.members.Rank(now))
-		members, changed := b.membersToWrite(now)
-		syncDirectory := now.After(b.nextDirectorySyncAt) && b.members.Rank(now) == 0
+		rank := b.members.Rank(now)
+		poll := b.pollSchedule.StartPoll(now, rank)
+		members, writeDue := b.membersToWrite(now, rank)
+		syncDirectory := now.After(b.nextDirectorySyncAt) && rank == 0
 		if syncDirectory {
 			b.nextDirectorySyncAt = now.Add(directoryRetryInterval)
 		}
@@ -216,7 +214,7 @@
 		if poll {
 			go b.pollStore(ctx)
 		}
-		if changed {
+		if writeDue {
 			go b.writeMembers(ctx, members)
 		}
 	}
--- a/internal/relay/entry/store.go
+++ b/internal/relay/entry/store.go
@@ -17,7 +17,6 @@
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/relay/plan"
 	"github.com/clementinewing/clementinewing/internal/relay/port"
-	"github.com/clementinewing/clementinewing/internal/relay/roster"
 )
 
 const (
@@ -101,14 +100,12 @@
 	for _, h := range b.members.ApplyRecord(start, c.Members.Present, c.Members.Departed) {
 		b.send(h, heartbeat)
 	}
-	if c.MembersCurrent() {
-		b.writtenDigest = roster.Digest(c.Members.Present)
-	}
+	b.record.Observe(c.Members.Revision)
 	b.mutex.Unlock()
 	b.log.Important.Info().
 		Int("balancers", len(c.Balancers)).
 		Int("side_processes", len(c.Members.Present)).
-		Bool("members_current", c.MembersCurrent()).
+		Uint64("members_revision", c.Members.Revision).
 		Uint64("store_era", c.Position.Era).
 		Uint64("store_revision", c.Position.Revision).
 		Int64("after_ms", time.Since(b.startedAt).Milliseconds()).
@@ -129,18 +126,21 @@
 	return true
 }
 
-// memberWriteInterval is the minimum interval between writes of the member record.
-const memberWriteInterval = time.Second
-
-// membersToWrite returns the member record to write to the store. changed is true if this
-// balancer writes it for all and the present agents differ from the last record.
-func (b *Balancer) membersToWrite(now time.Time) (m port.Members, changed bool) {
-	if now.Before(b.nextWriteAt) || b.members.Rank(now) != 0 || b.leaving || b.activePlan.Current() == nil || !b.position.Known() {
+// membersToWrite returns the member record to write to the store. due is true if this
+// balancer writes it for all and the store may hold another one.
+func (b *Balancer) membersToWrite(now time.Time, rank int) (m port.Members, due bool) {
+	if rank != 0 {
+		b.record.Forget()
+		return m, false
+	}
+	if !b.record.CheckDue(now) || b.leaving || b.activePlan.Current() == nil || !b.position.Known() {
 		return m, false
 	}
-	b.nextWriteAt = now.Add(memberWriteInterval)
 	m.Present = b.members.PresentAgents()
-	if len(m.Present) == 0 || roster.Digest(m.Present) == b.writtenDigest || b.members.Isolated(now) || !b.members.MembersComplete(now) {
+	if len(m.Present) == 0 || b.members.Isolated(now) || !b.members.MembersComplete(now) {
+		return m, false
+	}
+	if m.Revision, due = b.record.StartWrite(m.Present); !due {
 		return m, false
 	}
 	m.Departed = b.members.DepartedAgents()
@@ -154,20 +154,22 @@
 	start := time.Now()
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	b.mutex.Lock()
-	restores := b.position.Restores()
-	b.mutex.Unlock()
-	err := b.store.WriteMembers(call, m)
-	b.recordStoreCall(start, err)
-	if err != nil {
-		return
+	revision, err := b.store.WriteMembers(call, m)
+	conflict := errors.Is(err, port.ErrConflict)
+	if conflict {
+		b.recordStoreCall(start, nil)
+	} else {
+		b.recordStoreCall(start, err)
 	}
-	b.log.Important.Info().Int("side_processes", len(m.Present)).Int("left", len(m.Departed)).Msg("member record written to the store")
 	b.mutex.Lock()
-	if restores == b.position.Restores() {
-		b.writtenDigest = roster.Digest(m.Present)
-	}
+	b.record.FinishWrite(m.Present, revision, err == nil || conflict, err == nil)
 	b.mutex.Unlock()
+	switch {
+	case conflict:
+		b.log.Important.Info().Uint64("replaces", m.Revision).Uint64("store_revision", revision).Msg("member record in the store has another revision; it is written again")
+	case err == nil:
+		b.log.Important.Info().Int("side_processes", len(m.Present)).Int("left", len(m.Departed)).Uint64("store_revision", revision).Msg("member record written to the store")
+	}
 }
 
 // register adds this balancer to the balancer directory, so that processes that know no
@@ -266,7 +268,7 @@
 	previous := b.position.Latest()
 	restored := b.position.Observe(p)
 	if restored {
-		b.writtenDigest = roster.Digest(nil)
+		b.record.Forget()
 		b.nextDirectorySyncAt = time.Now()
 	}
 	b.mutex.Unlock()
--- a/internal/relay/port/port.go
+++ b/internal/relay/port/port.go
@@ -24,6 +24,9 @@
 	// ErrNoAnswer: the store did not answer. The call may have taken effect or may still
 	// do so.
 	ErrNoAnswer = errors.New("store did not answer")
+	// ErrConflict: the store holds another revision than the write replaces, and has changed
+	// nothing.
+	ErrConflict = errors.New("item in the store has another revision")
 	// ErrInvalid: the item cannot be decoded.
 	ErrInvalid = errors.New("item in the store cannot be decoded")
 )
@@ -71,11 +74,9 @@
 	Present []frame.Host
 	// Departed are the agents with endpoints that stopped recently.
 	Departed []frame.Host
-}
-
-// MembersCurrent reports whether the member record is the one last written.
-func (c *Contents) MembersCurrent() bool {
-	return len(c.Members.Present) > 0 && c.Members.Era == c.Position.Era
+	// Revision is that of the record in the store. A record to be written has the revision
+	// that it replaces. 0 stands for no record.
+	Revision uint64
 }
 
 // Store is the platform's store. Each method makes one store call per page of results or
@@ -92,8 +93,9 @@
 	// AddBalancers adds balancers to the balancer directory. The name is that of the process
 	// that adds them.
 	AddBalancers(ctx context.Context, hosts []frame.Host, name string) error
-	// WriteMembers stores the member record.
-	WriteMembers(ctx context.Context, m Members) error
+	// WriteMembers replaces the member record of revision m.Revision. It returns the revision
+	// that the store holds, also with ErrConflict.
+	WriteMembers(ctx context.Context, m Members) (revision uint64, err error)
 	// RemoveBalancers removes balancers from the balancer directory.
 	RemoveBalancers(ctx context.Context, hosts []frame.Host) error
 }
