admit: deny flows conclusively only while the flow table is complete

An agent that has seen all flows of its endpoint denies unknown ones without asking it, and the balancer resets them. Its table lacked

- a flow whose SYN the endpoint answered after the 40 ms in which the next candidate is asked: the entry is removed then, and the answer, which reaches the caller, made no new one;
- an open flow that was idle for longer than its entry is kept, 65 s, which is more than the known platforms want, but is not theirs to promise;
- a flow adopted while the table was full.

A late answer to a SYN now makes an entry. When an entry of a flow that is not closed by both sides expires, or one does not fit, the table no longer counts as complete, and the endpoint is asked with the packet.

"a flow stays open whose endpoint answered the SYN after the next candidate was asked" and "an endpoint is asked again once the entry of an idle flow has expired" failed before (flows.txt:200, 210) and pass.

--- a/internal/relay/admit/controller.go
+++ b/internal/relay/admit/controller.go
@@ -407,8 +407,8 @@
 	return h.inUse
 }
 
-// SawAllFlows reports whether every flow that the endpoint may hold has passed this
-// process, so that the endpoint need not be asked whether it holds an unknown one.
+// SawAllFlows reports whether the flow table has every flow that the endpoint may hold, so
+// that the endpoint need not be asked whether it holds an unknown one.
 func (h *Controller) SawAllFlows() bool {
 	return h.endpoint.sawAllFlows
 }
@@ -476,6 +476,10 @@
 		case now.After(f.keepUntil):
 			h.setPhase(f, phaseIdle)
 			delete(h.flows, k)
+			if f.initialKnown && f.fins != finCaller|finEndpoint {
+				// The endpoint may still hold the flow.
+				h.endpoint.sawAllFlows = false
+			}
 		case f.phase == phaseBusy && now.After(f.phaseAt.Add(requestTimeout)):
 			h.setPhase(f, phaseIdle)
 		}
--- a/internal/relay/admit/endpoint.go
+++ b/internal/relay/admit/endpoint.go
@@ -40,9 +40,9 @@
 	refusedUntil   time.Time
 	// awaitsReport is set when the endpoint gets no flow before its first report.
 	awaitsReport bool
-	// sawAllFlows is set when every flow that the endpoint may hold has passed this
-	// process: at some time since its start nothing listened at the endpoint's address.
-	// The endpoint's start time cannot show this, since the wall clock may have been set.
+	// sawAllFlows is set when the flow table has every flow that the endpoint may hold: at
+	// some time since the start of this process nothing listened at the endpoint's address,
+	// and no entry of an open flow has expired since. The endpoint's start time cannot show this, since the wall clock may have been set.
 	sawAllFlows bool
 	coldUntil   time.Time
 }
--- a/internal/relay/admit/flow.go
+++ b/internal/relay/admit/flow.go
@@ -34,7 +34,7 @@
 	highest      uint32
 	initialKnown bool
 	queued       bool
-	// adopted is set if the flow was opened before this process started.
+	// adopted is set if the answer to the flow's SYN did not pass this process.
 	adopted bool
 	// unverified is set when the endpoint has restarted since its last packet of the flow,
 	// which may have ended with the earlier incarnation.
@@ -221,15 +221,19 @@
 	h.announceOwner(f, key)
 }
 
-// adoptFlow starts to track a flow that the endpoint has held since before this process
-// started.
+// adoptFlow starts to track a flow that the endpoint holds and that this process does not
+// know: it is older than this process, or the endpoint answered its SYN late.
 func (h *Controller) adoptFlow(now time.Time, p link.Packet) *flow {
-	if p.IsReset() || p.Flags&flagSyn != 0 || len(h.flows) >= maxFlows {
+	if p.IsReset() {
+		return nil
+	}
+	if len(h.flows) >= maxFlows {
+		h.endpoint.sawAllFlows = false
 		return nil
 	}
 	f := &flow{
 		phaseAt: now,
-		adopted: true,
+		adopted: p.Flags&flagSyn == 0,
 	}
 	h.flows[p.Key] = f
 	return f
