soak: start endpoints with clocks that are off

Each incarnation of an endpoint reports a start time that is up to 3 s off, so a later one may have the earlier time, and is cold for 2 s.

--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -32,6 +33,10 @@
 	// restartDelay is the time from the end of a process to its restart, as on
 	// the platform.
 	restartDelay = 300 * time.Millisecond
+	// coldDuration is how long endpoints report that they are slow after their start.
+	coldDuration = 2 * time.Second
+	// maxClockOffset bounds how far the wall clock of a VM is off.
+	maxClockOffset = 3 * time.Second
 )
 
 // Sizes are the numbers of processes in a deployment.
@@ -191,7 +196,9 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.incarnations++
-	e := f.Net.Endpoint(i, fmt.Sprintf("e-%d-%d", i, f.incarnations), Service(i), time.Now().UnixMilli(), f.Account)
+	born := time.Now().Add(f.clockOffset(f.incarnations)).UnixMilli()
+	e := f.Net.Endpoint(i, fmt.Sprintf("e-%d-%d", i, f.incarnations), Service(i), born, f.Account)
+	e.ColdFor = coldDuration
 	e.Slots = slots
 	e.Work = requestDuration
 	e.DrainFor = drainDuration
@@ -203,6 +210,13 @@
 	return nil
 }
 
+// clockOffset returns how far the wall clock is off that an incarnation reads its start time
+// from: the clocks of the VMs are set, so a later incarnation may have an earlier start time.
+func (f *Fleet) clockOffset(incarnation int) time.Duration {
+	random := rand.New(rand.NewPCG(uint64(f.Net.Number), uint64(incarnation)))
+	return time.Duration(random.Int64N(int64(2*maxClockOffset))) - maxClockOffset
+}
+
 // CrashEndpoint ends a machine's endpoint without notice.
 func (f *Fleet) CrashEndpoint(i int) {
 	e := f.detachEndpoint(i)
