--- a/internal/relay/admit/endpoint.go
+++ b/internal/relay/admit/endpoint.go
@@ -42,7 +42,8 @@
 	awaitsReport bool
 	// sawAllFlows is set when the flow table has every flow that the endpoint may hold: at
 	// some time since the start of this process nothing listened at the endpoint's address,
-	// and no entry of an open flow has expired since. The endpoint's start time cannot show this, since the wall clock may have been set.
+	// and no entry of an open flow has expired since. The endpoint's start time cannot show
+	// this, since the wall clock may have been set.
 	sawAllFlows bool
 	coldUntil   time.Time
 }
--- a/internal/relay/admit/report.go
+++ b/internal/relay/admit/report.go
@@ -24,11 +24,11 @@
 	startedAt uint64
 }
 
-// claim is a pending claim of an incarnation to be the one that runs.
+// claim is the report of an incarnation that is not believed yet to be the one that runs.
 type claim struct {
 	incarnation
 	sequence uint64
-	// acceptAt is from when on a further report proves the claim.
+	// acceptAt is from when on a further report proves that the incarnation runs.
 	acceptAt time.Time
 }
 
@@ -78,11 +78,11 @@
 	h.emitStateChange(before, EndpointReport)
 }
 
-// replacedBy reports whether another incarnation is the one that runs. Its start time shows
-// this if it is later, unless that incarnation has been replaced before. Otherwise the report
-// may be a late one of an incarnation that has ended. The current one may be known to have
-// ended. If not, only the one that runs keeps reporting: another takes its place once the
-// current one has missed its reports and the other has reported again.
+// replacedBy reports whether incarnation x, which has sent a report, runs in place of the
+// current one. It does if the current one is known to have ended or has an earlier start time,
+// unless x was itself replaced before. Otherwise the report may be a late one of an
+// incarnation that has ended. Only the incarnation that runs keeps reporting, so x is believed
+// once the current one has missed its reports and x has reported again.
 func (e *endpoint) replacedBy(now time.Time, x incarnation, sequence uint64) bool {
 	switch {
 	case !e.reported:
--- a/internal/relay/agent/state.go
+++ b/internal/relay/agent/state.go
@@ -95,7 +95,7 @@
 	Slots   uint16 `json:"slots"`
 	InUse   int    `json:"in_use"`
 	Flows   int    `json:"flows"`
-	// SawAllFlows reports whether the endpoint holds no flow from before this process.
+	// SawAllFlows reports whether the endpoint holds no flow that the agent does not know.
 	SawAllFlows bool     `json:"saw_all_flows"`
 	Balancers   []string `json:"balancers"`
 }
--- a/internal/relay/entry/store.go
+++ b/internal/relay/entry/store.go
@@ -157,18 +157,28 @@
 	revision, err := b.store.WriteMembers(call, m)
 	conflict := errors.Is(err, port.ErrConflict)
 	if conflict {
-		b.recordStoreCall(start, nil)
-	} else {
-		b.recordStoreCall(start, err)
+		// The store has answered.
+		err = nil
 	}
+	b.recordStoreCall(start, err)
 	b.mutex.Lock()
-	b.record.FinishWrite(m.Present, revision, err == nil || conflict, err == nil)
-	b.mutex.Unlock()
+	defer b.mutex.Unlock()
 	switch {
 	case conflict:
-		b.log.Important.Info().Uint64("replaces", m.Revision).Uint64("store_revision", revision).Msg("member record in the store has another revision; it is written again")
-	case err == nil:
-		b.log.Important.Info().Int("side_processes", len(m.Present)).Int("left", len(m.Departed)).Uint64("store_revision", revision).Msg("member record written to the store")
+		b.record.RejectWrite(revision)
+		b.log.Important.Info().
+			Uint64("replaces", m.Revision).
+			Uint64("store_revision", revision).
+			Msg("member record in the store has another revision; it is written again")
+	case err != nil:
+		b.record.AbandonWrite()
+	default:
+		b.record.ConfirmWrite(revision)
+		b.log.Important.Info().
+			Int("side_processes", len(m.Present)).
+			Int("left", len(m.Departed)).
+			Uint64("store_revision", revision).
+			Msg("member record written to the store")
 	}
 }
 
--- a/internal/relay/roster/record.go
+++ b/internal/relay/roster/record.go
@@ -19,9 +19,8 @@
 type Record struct {
 	// revision is that of the record last seen in the store, 0 if the store held none.
 	revision uint64
-	// written identifies the members of the last write, if certain is set: the store has
-	// confirmed it, and no other write can have replaced it unless another balancer took the
-	// work over.
+	// written identifies the members of the last write. certain is set while nothing has come
+	// up since it began because of which the store may hold another record.
 	written uint64
 	certain bool
 	writing bool
@@ -50,24 +49,32 @@
 }
 
 // StartWrite reports whether a record with these members is to be written, and if so the
-// revision that the write replaces. FinishWrite must follow.
+// revision that the write replaces. ConfirmWrite, RejectWrite or AbandonWrite must follow.
 func (r *Record) StartWrite(members []frame.Host) (replaces uint64, ok bool) {
-	if r.certain && r.written == Digest(members) {
+	digest := Digest(members)
+	if r.certain && r.written == digest {
 		return 0, false
 	}
 	r.writing = true
+	r.written = digest
 	r.certain = true
 	return r.revision, true
 }
 
-// FinishWrite records the outcome of a write: the revision of the record that the store holds
-// now, and whether the write has made it. If the outcome is not known, held is false.
-func (r *Record) FinishWrite(members []frame.Host, revision uint64, held, made bool) {
+// ConfirmWrite records that the store has made the write, as a revision.
+func (r *Record) ConfirmWrite(revision uint64) {
 	r.writing = false
-	if held {
-		r.revision = revision
-	}
-	r.written = Digest(members)
-	// Forget may have been called during the write.
-	r.certain = r.certain && made
+	r.revision = revision
+}
+
+// RejectWrite records that the store holds another revision than the write was to replace.
+func (r *Record) RejectWrite(revision uint64) {
+	r.writing = false
+	r.Observe(revision)
+}
+
+// AbandonWrite records that the outcome of the write is not known.
+func (r *Record) AbandonWrite() {
+	r.writing = false
+	r.certain = false
 }
--- a/internal/relay/roster/record_test.go
+++ b/internal/relay/roster/record_test.go
@@ -7,12 +7,11 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/clementinewing/clementinewing/internal/fake/script"
-	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/relay/roster"
 )
 
 // The event check stands for CheckDue and StartWrite; done, conflict and lost for
-// FinishWrite.
+// ConfirmWrite, RejectWrite and AbandonWrite.
 var _ = Describe("Record", func() {
 	cases, err := script.Read("testdata/record/*.txt")
 	if err != nil {
@@ -21,7 +20,6 @@
 	for _, c := range cases {
 		It(c.Name, func() {
 			var r roster.Record
-			var members []frame.Host
 			for i := range c.Lines {
 				l := &c.Lines[i]
 				revision := uint64(l.Int("revision", 0))
@@ -35,17 +33,15 @@
 					if !r.CheckDue(l.At) {
 						break
 					}
-					now := parseHosts(l.Ints("members"))
-					if replaces, ok := r.StartWrite(now); ok {
-						members = now
+					if replaces, ok := r.StartWrite(parseHosts(l.Ints("members"))); ok {
 						got = fmt.Sprintf("replace %d", replaces)
 					}
 				case "done":
-					r.FinishWrite(members, revision, true, true)
+					r.ConfirmWrite(revision)
 				case "conflict":
-					r.FinishWrite(members, revision, true, false)
+					r.RejectWrite(revision)
 				case "lost":
-					r.FinishWrite(members, 0, false, false)
+					r.AbandonWrite()
 				default:
 					panic("no event " + l.Event)
 				}
