--- a/internal/relay/admit/controller.go
+++ b/internal/relay/admit/controller.go
@@ -12,6 +12,7 @@
 package admit
 
 import (
+	"maps"
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
@@ -41,9 +42,14 @@
 	idleFlowTTL = 65 * time.Second
 	// remoteOwnerTTL is how long the owner of a flow at another endpoint is kept.
 	remoteOwnerTTL = 65 * time.Second
-	// maxFlows and maxRemoteOwners bound the tables, at 100 to 150 bytes per flow.
+	// deniedFlowTTL is how long a denial of the endpoint is kept: the longest lifetime of a
+	// flow.
+	deniedFlowTTL = 65 * time.Second
+	// maxFlows, maxRemoteOwners and maxDeniedFlows bound the tables, at 40 to 150 bytes per
+	// flow.
 	maxFlows        = 20_000
 	maxRemoteOwners = 50_000
+	maxDeniedFlows  = 20_000
 	// maxDeliveries is how many packets delivered to the endpoint are tracked.
 	maxDeliveries = 1 << 11
 	// maxFlowShare bounds the open flows per slot of an endpoint, as a multiple of the
@@ -59,7 +65,7 @@
 
 // Event is PacketForEndpoint, PacketFromEndpoint, PacketBounced, OwnerAnnounced,
 // OwnerQueried, ReportReceived, EndpointStopped, StopAccepting, StateRemembered,
-// EndpointUnreachable or Tick.
+// RegistrationKnown, BalancerFound, EndpointUnreachable or Tick.
 type Event interface{ event() }
 
 // PacketForEndpoint is a caller's packet forwarded by a balancer or another agent.
@@ -123,6 +129,14 @@
 	StartedAt uint64
 }
 
+// RegistrationKnown tells what a balancer knows of this agent's place in the member record.
+type RegistrationKnown struct {
+	Status frame.RegistrationStatus
+}
+
+// BalancerFound reports that a balancer has answered.
+type BalancerFound struct{}
+
 // EndpointUnreachable reports that nothing listened at the endpoint's address when it was
 // probed.
 type EndpointUnreachable struct {
@@ -149,6 +163,8 @@
 func (EndpointStopped) event()     {}
 func (StopAccepting) event()       {}
 func (StateRemembered) event()     {}
+func (RegistrationKnown) event()   {}
+func (BalancerFound) event()       {}
 func (EndpointUnreachable) event() {}
 func (Tick) event()                {}
 
@@ -260,6 +276,12 @@
 
 	endpoint endpoint
 	flows    map[link.Key]*flow
+	// endedFlows holds the flows that were the endpoint's and that it lost when it crashed.
+	endedFlows map[link.Key]*flow
+	// deniedFlows holds the flows that the endpoint has denied, with the time until which
+	// each entry is kept. The endpoint cannot hold one of them later without an opening or
+	// an answer that passes this process.
+	deniedFlows map[link.Key]time.Time
 	// remoteOwners holds the owners of flows whose home is this agent.
 	remoteOwners map[link.Key]remoteOwner
 	// ownerLookups holds the flows of which the endpoint was given a packet to find out
@@ -335,12 +357,15 @@
 		self:         self,
 		service:      spec.NewServiceID(service),
 		flows:        map[link.Key]*flow{},
+		endedFlows:   map[link.Key]*flow{},
+		deniedFlows:  map[link.Key]time.Time{},
 		remoteOwners: map[link.Key]remoteOwner{},
 		ownerLookups: map[link.Key]ownerLookup{},
 		queue:        map[link.Key]*queueEntry{},
 		serviceTime:  initialServiceTime,
 	}
 	h.endpoint.slots = 1
+	h.endpoint.registered = true
 	h.endpoint.reportInterval = defaultReportInterval
 	for _, o := range options {
 		o(h)
@@ -370,6 +395,10 @@
 		h.endpoint.leaving = true
 	case StateRemembered:
 		h.restoreState(e)
+	case RegistrationKnown:
+		h.handleRegistration(now, e.Status)
+	case BalancerFound:
+		h.awaitRegistration(now)
 	case EndpointUnreachable:
 		h.handleUnreachable(e)
 	case Tick:
@@ -388,11 +417,16 @@
 func (h *Controller) Load(now time.Time) frame.LoadReport {
 	e := &h.endpoint
 	return frame.LoadReport{
-		Host:      h.self,
-		Service:   h.service,
-		State:     e.state(),
-		Proven:    e.proven,
-		Refuses:   e.refusedOpening && !e.reported,
+		Host:    h.self,
+		Service: h.service,
+		State:   e.state(),
+		Proven:  e.proven,
+		Refuses: e.refusedOpening && !e.reported,
+
+		Registered:        e.registered,
+		WantsRegistration: !e.registered && !e.gone,
+		EndpointEnded:     e.endedRegistered,
+
 		StartedAt: e.startedAt,
 		Slots:     e.slots,
 		InUse:     uint16(min(h.inUse+len(h.queue), 0xffff)),
@@ -430,6 +464,7 @@
 }
 
 func (h *Controller) handleTick(now time.Time) {
+	h.checkRegistration(now)
 	h.expireDeliveries(now)
 	h.expireAcceptedOpenings(now)
 	if !h.lastTickAt.IsZero() {
@@ -484,14 +519,8 @@
 			h.setPhase(f, phaseIdle)
 		}
 	}
-	for k, l := range h.ownerLookups {
-		if now.After(l.keepUntil) {
-			delete(h.ownerLookups, k)
-		}
-	}
-	for k, o := range h.remoteOwners {
-		if now.After(o.keepUntil) {
-			delete(h.remoteOwners, k)
-		}
-	}
+	maps.DeleteFunc(h.ownerLookups, func(_ link.Key, l ownerLookup) bool { return now.After(l.keepUntil) })
+	maps.DeleteFunc(h.endedFlows, func(_ link.Key, f *flow) bool { return now.After(f.keepUntil) })
+	maps.DeleteFunc(h.deniedFlows, func(_ link.Key, keepUntil time.Time) bool { return now.After(keepUntil) })
+	maps.DeleteFunc(h.remoteOwners, func(_ link.Key, o remoteOwner) bool { return now.After(o.keepUntil) })
 }
--- a/internal/relay/admit/delivery.go
+++ b/internal/relay/admit/delivery.go
@@ -113,6 +113,7 @@
 	}
 	// A caller that reuses its port has abandoned the queued entry.
 	delete(h.queue, p.Key)
+	h.forgetLostFlow(p.Key)
 	f := &flow{
 		phaseAt:   now,
 		keepUntil: now.Add(closedFlowTTL),
@@ -276,8 +277,16 @@
 	if ok && purpose == deliverOwned {
 		h.setPhase(f, phaseIdle)
 		delete(h.flows, b.Packet.Key)
+		h.recordEndedFlow(b.Packet.Key, f)
 	}
 	delete(h.ownerLookups, b.Packet.Key)
+	if h.ownedEndedFlow(b.Packet.Key, b.Packet.Acknowledgment, b.Packet.HasAck()) {
+		h.returnEndedFlow(b.Packet, c)
+		return
+	}
+	if _, ok = h.flows[b.Packet.Key]; !ok {
+		h.recordDeniedFlow(now, b.Packet.Key)
+	}
 	h.forwardUnowned(b.Packet, c, EndpointDenied)
 }
 
--- a/internal/relay/admit/endpoint.go
+++ b/internal/relay/admit/endpoint.go
@@ -40,6 +40,18 @@
 	refusedUntil   time.Time
 	// awaitsReport is set when the endpoint gets no flow before its first report.
 	awaitsReport bool
+	// registered is set once the member record is known to list this agent. Until then the
+	// endpoint gets no flow, unless unregistered is set: no balancer can register the agent.
+	registered   bool
+	unregistered bool
+	// needsRegistration is set by NeedsRegistration, endedRegistered once the endpoint has ended
+	// while this agent was registered.
+	needsRegistration bool
+	endedRegistered   bool
+	// impossible is set while the last balancer that told of the registration has lost the
+	// store. unregistered is set at unregisteredFrom, which is zero until a balancer answers.
+	impossible       bool
+	unregisteredFrom time.Time
 	// sawAllFlows is set when the flow table has every flow that the endpoint may hold: at
 	// some time since the start of this process nothing listened at the endpoint's address,
 	// and no entry of an open flow has expired since. The endpoint's start time cannot show
@@ -55,7 +67,7 @@
 		return node.Gone
 	case e.draining || e.leaving:
 		return node.Draining
-	case e.silent || e.refusedOpening || e.awaitsReport && !e.reported:
+	case e.silent || e.refusedOpening || e.awaitsReport && !e.reported || !e.registered && !e.unregistered:
 		return node.Joining
 	default:
 		return node.Serving
@@ -89,8 +101,11 @@
 }
 
 // dropFlows removes the flows of an endpoint that has ended, and the requests queued on
-// them.
+// them. It keeps those that the endpoint had accepted as ended.
 func (h *Controller) dropFlows() {
+	for key, f := range h.flows {
+		h.recordEndedFlow(key, f)
+	}
 	clear(h.flows)
 	h.inUse = 0
 	for key, w := range h.queue {
@@ -127,6 +142,7 @@
 	before := e.state()
 	h.dropFlows()
 	e.gone = true
+	h.endRegistration()
 	e.sawAllFlows = true
 	h.emitStateChange(before, NotListening)
 }
--- a/internal/relay/admit/flow.go
+++ b/internal/relay/admit/flow.go
@@ -161,7 +161,7 @@
 func (h *Controller) handlePacketFromEndpoint(now time.Time, a PacketFromEndpoint) {
 	h.markAlive(now)
 	p := a.Packet
-	if p.IsReset() && h.takeResetAsDenial(p) {
+	if p.IsReset() && h.takeResetAsDenial(now, p) {
 		return
 	}
 	h.emit(SendToCaller{
@@ -231,6 +231,7 @@
 		h.endpoint.sawAllFlows = false
 		return nil
 	}
+	h.forgetLostFlow(p.Key)
 	f := &flow{
 		phaseAt: now,
 		adopted: p.Flags&flagSyn == 0,
--- a/internal/relay/admit/lookup.go
+++ b/internal/relay/admit/lookup.go
@@ -36,7 +36,11 @@
 		h.forwardUnowned(p, c, OtherAnswer)
 		return
 	}
-	if h.endpoint.sawAllFlows {
+	if h.ownedEndedFlow(p.Key, p.Acknowledgment, p.HasAck()) {
+		h.returnEndedFlow(p, c)
+		return
+	}
+	if h.deniesFlow(p.Key) {
 		h.forwardUnowned(p, c, UnknownFlow)
 		return
 	}
@@ -65,8 +69,64 @@
 			QueryID:    a.QueryID,
 			Host:       h.self,
 			Key:        a.Key,
-			Conclusive: !ok && h.endpoint.sawAllFlows,
+			Conclusive: !ok && h.deniesFlow(a.Key),
+			FlowEnded:  !ok && h.ownedEndedFlow(a.Key, a.Acknowledgment, a.Acknowledges),
+		},
+	})
+}
+
+// deniesFlow reports whether the endpoint is known not to hold a flow that is not in the
+// table.
+func (h *Controller) deniesFlow(key link.Key) bool {
+	_, denied := h.deniedFlows[key]
+	return denied || h.endpoint.sawAllFlows
+}
+
+// recordDeniedFlow records that the endpoint has denied a flow.
+func (h *Controller) recordDeniedFlow(now time.Time, key link.Key) {
+	if len(h.deniedFlows) < maxDeniedFlows {
+		h.deniedFlows[key] = now.Add(deniedFlowTTL)
+	}
+}
+
+// recordEndedFlow records that a flow of the endpoint has ended with it.
+func (h *Controller) recordEndedFlow(key link.Key, f *flow) {
+	if f.initialKnown && len(h.endedFlows) < maxFlows {
+		h.endedFlows[key] = f
+	}
+}
+
+// ownedEndedFlow reports whether a packet belongs to a flow of the endpoint that has ended.
+// It does if it acknowledges what the endpoint has sent: then the caller has accepted this
+// endpoint's answer, and no other endpoint holds the flow.
+func (h *Controller) ownedEndedFlow(key link.Key, acknowledgment uint32, acknowledges bool) bool {
+	f, ok := h.endedFlows[key]
+	return ok && acknowledges && f.hasSent(acknowledgment)
+}
+
+// forgetLostFlow removes what is known of an earlier flow with the key, because the endpoint
+// may hold another one now.
+func (h *Controller) forgetLostFlow(key link.Key) {
+	delete(h.endedFlows, key)
+	delete(h.deniedFlows, key)
+}
+
+// returnEndedFlow returns a packet of a flow that has ended with its endpoint. Balancers of
+// earlier releases, which do not know FlowEnded, treat it as a denial by all candidates.
+func (h *Controller) returnEndedFlow(p link.Packet, c *frame.Forward) {
+	h.emit(ReturnToBalancer{
+		To: c.Balancer,
+		Return: frame.Return{
+			Host:          h.self,
+			Reason:        uint8(FlowEnded),
+			Conclusive:    true,
+			ListExhausted: true,
+			FlowEnded:     true,
+			LookupStage:   c.LookupStage,
+			Packet:        c.Packet,
 		},
+		Key:    p.Key,
+		Reason: FlowEnded,
 	})
 }
 
@@ -102,7 +162,7 @@
 // takeResetAsDenial treats an endpoint's RST as a denial if the endpoint was given a
 // packet to find the owner of its flow. The RST must not reach the caller: another
 // endpoint may own the flow.
-func (h *Controller) takeResetAsDenial(p link.Packet) bool {
+func (h *Controller) takeResetAsDenial(now time.Time, p link.Packet) bool {
 	if _, ok := h.flows[p.Key]; ok {
 		return false
 	}
@@ -114,6 +174,7 @@
 		m.purpose = 0
 		m.forward.Packet = m.raw
 		delete(h.ownerLookups, p.Key)
+		h.recordDeniedFlow(now, p.Key)
 		h.forwardUnowned(m.packet, m.forward, EndpointDenied)
 		return true
 	}
--- a/internal/relay/admit/reason.go
+++ b/internal/relay/admit/reason.go
@@ -50,6 +50,12 @@
 	BalancerMemory
 	// NotListening: nothing listens at the endpoint's address.
 	NotListening
+	// FlowEnded: the flow was the endpoint's, which no longer holds it.
+	FlowEnded
+	// Registered: the member record lists this agent.
+	Registered
+	// Unregistered: no balancer can register this agent, which serves all the same.
+	Unregistered
 
 	reasonCount
 )
@@ -76,6 +82,9 @@
 	EndpointAnswer:    "endpoint_answer",
 	BalancerMemory:    "balancer_memory",
 	NotListening:      "not_listening",
+	FlowEnded:         "flow_ended",
+	Registered:        "registered",
+	Unregistered:      "unregistered",
 }
 
 // Reasons returns all reasons.
--- a/internal/relay/admit/report.go
+++ b/internal/relay/admit/report.go
@@ -62,6 +62,9 @@
 	case !runs:
 		h.startIncarnation(x)
 	}
+	if e.gone {
+		h.awaitRegistration(now)
+	}
 	e.gone = false
 	e.left = false
 	e.sequence = r.Sequence
@@ -134,6 +137,7 @@
 	default:
 		e.gone = true
 		e.left = true
+		h.endRegistration()
 		e.claim = claim{}
 		e.claimableAt = now.Add(2*e.reportInterval + reportTimeout)
 	}
--- a/internal/relay/admit/script_test.go
+++ b/internal/relay/admit/script_test.go
@@ -19,9 +19,10 @@
 // Hosts are small numbers: this agent is 1, balancers are numbered from 90. A flow is
 // named by its caller's port. Events: syn, data, fin, rst (packets for the endpoint),
 // synack, answer, close, abort (packets from the endpoint), bounce, report, left, leave,
-// told, dead, owner, ask, tick.
+// told, registration, found, dead, owner, ask, tick.
 //
-// Words of the scripts and what they stand for: told StateRemembered, dead
+// Words of the scripts and what they stand for: told StateRemembered,
+// registration RegistrationKnown, found BalancerFound, dead
 // EndpointUnreachable, ask OwnerQueried, settled ListComplete, unsure CandidateSilent,
 // share FlowsPerSlot, aim LatencyTargetMS, urgency Priority, busy AverageLoad, hand on
 // ForwardToCandidate, back ReturnToBalancer, walked ListExhausted, sure Conclusive, tell
@@ -54,6 +55,9 @@
 	if strings.Contains(c.Name, "[endpoint absent]") {
 		options = append(options, admit.EndpointAbsent())
 	}
+	if strings.Contains(c.Name, "[unregistered]") {
+		options = append(options, admit.NeedsRegistration())
+	}
 	h := admit.New(self, service, options...)
 	for i := range c.Lines {
 		l := &c.Lines[i]
@@ -97,6 +101,16 @@
 		return admit.EndpointStopped{
 			ID: l.Words[0],
 		}
+	case "registration":
+		return admit.RegistrationKnown{
+			Status: map[string]frame.RegistrationStatus{
+				"pending":    frame.RegistrationPending,
+				"done":       frame.RegistrationDone,
+				"impossible": frame.RegistrationImpossible,
+			}[l.Words[0]],
+		}
+	case "found":
+		return admit.BalancerFound{}
 	case "leave":
 		return admit.StopAccepting{}
 	case "told":
@@ -244,6 +258,9 @@
 		if a.Return.Conclusive {
 			text += ", sure"
 		}
+		if a.Return.FlowEnded {
+			text += ", ended"
+		}
 		return text
 	case admit.AnnounceOwner:
 		if a.Owner.Known {
@@ -255,6 +272,9 @@
 		if !a.Denial.Conclusive {
 			text += ", not sure"
 		}
+		if a.Denial.FlowEnded {
+			text += ", ended"
+		}
 		return text
 	case admit.RequestQueued:
 		return fmt.Sprintf("waits %d", a.Key.CallerPort)
--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -101,7 +101,10 @@
 	for _, o := range options {
 		o(a)
 	}
-	controllerOptions := []admit.Option{admit.WithReportInterval(s.ReportInterval)}
+	controllerOptions := []admit.Option{
+		admit.WithReportInterval(s.ReportInterval),
+		admit.NeedsRegistration(),
+	}
 	if s.FirstStart {
 		controllerOptions = append(controllerOptions, admit.FirstStart())
 	} else if a.endpointRefuses() {
--- a/internal/relay/agent/fleet.go
+++ b/internal/relay/agent/fleet.go
@@ -105,6 +105,7 @@
 	for _, h := range removed {
 		a.log.Important.Info().Str("balancer", h.String()).Msg("balancer removed")
 	}
+	a.execute(a.controller.Step(now, admit.BalancerFound{}))
 	if r.State != 0 {
 		a.execute(a.controller.Step(now, admit.StateRemembered{
 			State:     r.State,
--- a/internal/relay/agent/packets.go
+++ b/internal/relay/agent/packets.go
@@ -126,6 +126,10 @@
 		a.handleHeartbeat(now, m)
 	case frame.MemberList:
 		a.handleMemberList(now, m)
+	case frame.Registration:
+		a.execute(a.controller.Step(now, admit.RegistrationKnown{
+			Status: m.Status,
+		}))
 	default:
 		a.counts.malformed++
 	}
--- a/internal/relay/entry/entry.go
+++ b/internal/relay/entry/entry.go
@@ -63,7 +63,12 @@
 	members      *roster.Roster
 	pollSchedule plan.PollSchedule
 	position     plan.Tracker
-	record       roster.Record
+	record       *roster.Record
+	// recordWanted is set while a lookup waits for the member record to be read, readingRecord
+	// while it is read.
+	recordWanted  bool
+	readingRecord bool
+	nextReadAt    time.Time
 	// registered reports that the balancer directory contains this balancer.
 	registered          bool
 	storeLost           bool
@@ -115,6 +120,7 @@
 		o(b)
 	}
 	b.members = roster.New(b.self)
+	b.record = roster.NewRecord(now)
 	b.router = router.New(b.self, xxhash.Sum64String(s.Zone), now, b.members, &b.activePlan)
 	if b.callers, err = listen(s.Callers); err != nil {
 		return nil, err
@@ -200,9 +206,9 @@
 			b.removeSilentMembers(now)
 		}
 		b.updateReady(now)
-		rank := b.members.Rank(now)
+		rank := b.members.Rank(now, b.fitness(now))
 		poll := b.pollSchedule.StartPoll(now, rank)
-		members, writeDue := b.membersToWrite(now, rank)
+		b.startRecordCalls(ctx, now, rank)
 		syncDirectory := now.After(b.nextDirectorySyncAt) && rank == 0
 		if syncDirectory {
 			b.nextDirectorySyncAt = now.Add(directoryRetryInterval)
@@ -214,9 +220,6 @@
 		if poll {
 			go b.pollStore(ctx)
 		}
-		if writeDue {
-			go b.writeMembers(ctx, members)
-		}
 	}
 }
 
--- a/internal/relay/entry/packets.go
+++ b/internal/relay/entry/packets.go
@@ -65,6 +65,8 @@
 			for _, h := range a.To {
 				b.send(h, a.Query)
 			}
+		case router.ReadRecord:
+			b.recordWanted = true
 		case router.OwnerFound:
 			b.recordLatency(LatencyOpening, a.Latency)
 		case router.Refuse:
@@ -160,6 +162,7 @@
 	answer := frame.MemberList{
 		Balancers: known,
 	}
+	registration := b.registration(l.Host)
 	if s := b.members.Agent(l.Host); s != nil && s.Service == l.Service {
 		answer.State = s.State
 		answer.StartedAt = s.StartedAt
@@ -176,6 +179,11 @@
 	if l.WantsMembers || l.BalancersDigest != frame.NoDigest && l.BalancersDigest != roster.Digest(known) {
 		b.send(l.Host, answer)
 	}
+	if l.WantsRegistration {
+		b.send(l.Host, frame.Registration{
+			Status: registration,
+		})
+	}
 }
 
 // handleHeartbeat applies the heartbeat of another balancer.
@@ -232,6 +240,7 @@
 		Revision:     b.activePlan.Revision(),
 		StoreAgeMS:   age,
 		Leaving:      b.leaving,
+		StoreLost:    b.fitness(now).StoreLost,
 		WantsMembers: wantsMembers,
 	}
 }
--- a/internal/relay/entry/state.go
+++ b/internal/relay/entry/state.go
@@ -35,6 +35,7 @@
 	ownerQueries  uint64
 	storeCalls    uint64
 	storeFailures uint64
+	recordReads   uint64
 	plansIgnored  uint64
 	forwarded     [maxReasons]uint64
 	rejected      [maxReasons]uint64
@@ -57,6 +58,7 @@
 		{Name: "owner_questions", Value: c.ownerQueries},
 		{Name: "store_calls", Value: c.storeCalls},
 		{Name: "store_failures", Value: c.storeFailures},
+		{Name: "record_reads", Value: c.recordReads},
 		{Name: "store_restores", Value: b.position.Restores()},
 		{Name: "plans_ignored", Value: c.plansIgnored},
 		{Name: "log_lines_dropped", Value: b.log.Dropped()},
--- a/internal/relay/entry/store.go
+++ b/internal/relay/entry/store.go
@@ -97,14 +97,12 @@
 			b.send(h, heartbeat)
 		}
 	}
-	for _, h := range b.members.ApplyRecord(start, c.Members.Present, c.Members.Departed) {
-		b.send(h, heartbeat)
-	}
-	b.record.Observe(c.Members.Revision)
+	b.observeRecord(c.Members, c.Position.Era)
+	b.applyRecord(start, c.Members, c.Position.Era)
 	b.mutex.Unlock()
 	b.log.Important.Info().
 		Int("balancers", len(c.Balancers)).
-		Int("side_processes", len(c.Members.Present)).
+		Int("side_processes", len(c.Members.Agents)).
 		Uint64("members_revision", c.Members.Revision).
 		Uint64("store_era", c.Position.Era).
 		Uint64("store_revision", c.Position.Revision).
@@ -126,62 +124,6 @@
 	return true
 }
 
-// membersToWrite returns the member record to write to the store. due is true if this
-// balancer writes it for all and the store may hold another one.
-func (b *Balancer) membersToWrite(now time.Time, rank int) (m port.Members, due bool) {
-	if rank != 0 {
-		b.record.Forget()
-		return m, false
-	}
-	if !b.record.CheckDue(now) || b.leaving || b.activePlan.Current() == nil || !b.position.Known() {
-		return m, false
-	}
-	m.Present = b.members.PresentAgents()
-	if len(m.Present) == 0 || b.members.Isolated(now) || !b.members.MembersComplete(now) {
-		return m, false
-	}
-	if m.Revision, due = b.record.StartWrite(m.Present); !due {
-		return m, false
-	}
-	m.Departed = b.members.DepartedAgents()
-	m.Era = b.position.Latest().Era
-	return m, true
-}
-
-// writeMembers writes the member record to the store, for balancers that start after a
-// power failure of the whole fleet.
-func (b *Balancer) writeMembers(ctx context.Context, m port.Members) {
-	start := time.Now()
-	call, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	revision, err := b.store.WriteMembers(call, m)
-	conflict := errors.Is(err, port.ErrConflict)
-	if conflict {
-		// The store has answered.
-		err = nil
-	}
-	b.recordStoreCall(start, err)
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	switch {
-	case conflict:
-		b.record.RejectWrite(revision)
-		b.log.Important.Info().
-			Uint64("replaces", m.Revision).
-			Uint64("store_revision", revision).
-			Msg("member record in the store has another revision; it is written again")
-	case err != nil:
-		b.record.AbandonWrite()
-	default:
-		b.record.ConfirmWrite(revision)
-		b.log.Important.Info().
-			Int("side_processes", len(m.Present)).
-			Int("left", len(m.Departed)).
-			Uint64("store_revision", revision).
-			Msg("member record written to the store")
-	}
-}
-
 // register adds this balancer to the balancer directory, so that processes that know no
 // other balancer find it.
 func (b *Balancer) register(ctx context.Context) {
@@ -205,6 +147,7 @@
 	b.storeLost = err != nil
 	if err != nil && !lost {
 		b.storeLostAt = start
+		b.sendRegistrations()
 	}
 	if err == nil && lost && start.After(b.storeLostAt.Add(directorySyncInterval)) {
 		// Another balancer may have removed this one from the directory meanwhile.
@@ -278,7 +221,7 @@
 	previous := b.position.Latest()
 	restored := b.position.Observe(p)
 	if restored {
-		b.record.Forget()
+		b.record.Restore()
 		b.nextDirectorySyncAt = time.Now()
 	}
 	b.mutex.Unlock()
--- a/internal/relay/fault/caller_test.go
+++ b/internal/relay/fault/caller_test.go
@@ -56,12 +56,15 @@
 	// step counts the packets sent and the answers to them, so that retransmissions of
 	// earlier packets stop.
 	step int
+	// requestDelay is the pause before each request but the first.
+	requestDelay time.Duration
 }
 
 func (d *deployment) startCaller(port uint16, atStep func(step int)) {
 	d.caller = &caller{
 		deployment:   d,
 		atStep:       atStep,
+		requestDelay: requestDelay,
 		nextBalancer: int(port),
 		key: link.Key{
 			Caller:     7,
@@ -168,7 +171,7 @@
 	} else {
 		c.atStep(laterRequestAnswered)
 	}
-	c.deployment.clock.After(requestDelay, func() {
+	c.deployment.clock.After(c.requestDelay, func() {
 		if c.answered < requestCount {
 			c.sendRequest()
 			return
--- a/internal/relay/fault/deployment_test.go
+++ b/internal/relay/fault/deployment_test.go
@@ -49,7 +49,10 @@
 	// dropNext, duplicateNext and delayNext count the next datagrams to drop, duplicate
 	// or delay.
 	dropNext, duplicateNext, delayNext int
-	// unlistedAgent is missing in the member record.
+	// store holds the member record.
+	store store
+	// unlistedAgent is missing in the member record, which is that of an older copy of the
+	// store.
 	unlistedAgent *agent
 	// stateless is set if packets are forwarded without any state.
 	stateless  bool
@@ -62,6 +65,11 @@
 	host       frame.Host
 	members    *roster.Roster
 	router     *router.Router
+	record     *roster.Record
+	// recordWanted is set while a lookup waits for the member record to be read.
+	recordWanted bool
+	storeLost    bool
+	leaving      bool
 }
 
 // agent is one agent and its endpoint; the agent process is down while controller is
@@ -100,6 +108,7 @@
 		routedServices: map[string]bool{},
 	}
 	d.clock.Run(time.UnixMilli(1000))
+	d.store.complete = true
 	d.setRoute(service)
 	for i := range balancerCount {
 		b := &balancer{
@@ -202,33 +211,35 @@
 
 func (b *balancer) start() {
 	d := b.deployment
+	b.leaving = false
+	b.storeLost = false
+	b.recordWanted = false
 	b.members = roster.New(b.host)
+	b.record = roster.NewRecord(d.clock.Now())
 	b.router = router.New(b.host, 1, d.clock.Now(), b.members, &d.activePlan)
-	for _, o := range d.balancers {
-		if o != b {
-			b.members.ApplyHeartbeat(d.clock.Now(), frame.Heartbeat{
-				Host:    o.host,
-				Process: 1,
+	b.receiveHeartbeats()
+	b.readRecord(true)
+}
+
+// receiveHeartbeats stands for the heartbeats of the other balancers.
+func (b *balancer) receiveHeartbeats() {
+	for _, o := range b.deployment.balancers {
+		if o != b && o.router != nil {
+			b.members.ApplyHeartbeat(b.deployment.clock.Now(), frame.Heartbeat{
+				Host:      o.host,
+				Process:   1,
+				Leaving:   o.leaving,
+				StoreLost: o.storeLost,
 			})
 		}
 	}
-	var present []frame.Host
-	for _, s := range d.agents {
-		if s == d.unlistedAgent {
-			continue
-		}
-		present = append(present, s.host)
-		// An agent sends a load report at once when a balancer contacts it.
-		d.clock.After(2*hopDelay, func() { s.sendLoadReport(b) })
-	}
-	if len(present) > 0 {
-		b.members.ApplyRecord(d.clock.Now(), present, nil)
-	}
 }
 
 func (b *balancer) tick() {
 	if b.router != nil {
 		b.step(router.Tick{})
+		b.receiveHeartbeats()
+		b.startRecordCalls()
 	}
 	b.deployment.clock.After(tickInterval, b.tick)
 }
@@ -257,6 +268,8 @@
 					})
 				})
 			}
+		case router.ReadRecord:
+			b.recordWanted = true
 		case router.Refuse:
 			d.caller.receiveReset(a.Packet.Key, "refused: "+a.Reason.String(), true)
 		case router.Reset:
@@ -279,7 +292,7 @@
 func (s *agent) start() {
 	s.process++
 	s.sequence = 0
-	s.controller = admit.New(s.host, s.service)
+	s.controller = admit.New(s.host, s.service, admit.NeedsRegistration())
 	first := true
 	for _, b := range s.deployment.balancers {
 		if x := b.members.Agent(s.host); x != nil && first && s.process > 1 {
@@ -341,7 +354,11 @@
 	l.Sequence = s.sequence
 	l.Zone = 1
 	l.IntervalMS = uint16(loadReportInterval.Milliseconds())
+	status := b.registration(s.host)
 	b.members.ApplyReport(s.deployment.clock.Now(), l)
+	if l.WantsRegistration {
+		b.sendRegistration(s.host, status)
+	}
 }
 
 func (s *agent) step(e admit.Event) {
--- a/internal/relay/fault/matrix_test.go
+++ b/internal/relay/fault/matrix_test.go
@@ -184,6 +184,26 @@
 	case "all_balancers_restart_with_an_old_record":
 		d.unlistedAgent = o
 		d.restartBalancers()
+	case "all_balancers_restart_without_the_store":
+		d.loseStore(3 * time.Second)
+		d.restartBalancers()
+	case "system_restarts_without_the_store":
+		d.loseStore(3 * time.Second)
+		d.restartBalancers()
+		d.restartAgents()
+	case "all_balancers_restart_while_the_owner_is_away":
+		o.restart(3 * time.Second)
+		d.restartBalancers()
+	case "all_balancers_restart_with_an_old_record_while_the_owner_is_away":
+		d.unlistedAgent = o
+		o.restart(3 * time.Second)
+		d.restartBalancers()
+	case "endpoint_dies_without_the_store":
+		d.loseStore(3 * time.Second)
+		o.kill()
+	case "endpoint_dies_while_another_agent_is_away":
+		next.restart(3 * time.Second)
+		o.kill()
 	case "endpoint_drains_unheard":
 		for _, s := range d.agents[:agentCount] {
 			if s != next {
@@ -245,6 +265,11 @@
 	})
 }
 
+func (d *deployment) loseStore(period time.Duration) {
+	d.store.lost = true
+	d.clock.After(period, func() { d.store.lost = false })
+}
+
 func (d *deployment) restartBalancers() {
 	for _, b := range d.balancers {
 		b.restart(restartDelay)
--- a/internal/relay/frame/codec.go
+++ b/internal/relay/frame/codec.go
@@ -12,6 +12,9 @@
 	bit0 = 1
 	bit1 = 2
 	bit2 = 4
+	bit3 = 8
+	bit4 = 16
+	bit5 = 32
 )
 
 var byteOrder = binary.BigEndian
@@ -22,7 +25,7 @@
 	case *Forward:
 		return appendForward(out, m)
 	case Return:
-		out = append(out, magic, version, kindReturn, bitIf(m.Conclusive, bit0)|bitIf(m.ListExhausted, bit1), m.Reason, m.LookupStage)
+		out = append(out, magic, version, kindReturn, bitIf(m.Conclusive, bit0)|bitIf(m.ListExhausted, bit1)|bitIf(m.FlowEnded, bit2), m.Reason, m.LookupStage)
 		out = byteOrder.AppendUint32(out, uint32(m.Host))
 		return append(out, m.Packet...)
 	case Owner:
@@ -40,10 +43,12 @@
 		out = appendKey(out, m.Key)
 		return byteOrder.AppendUint32(out, m.Acknowledgment)
 	case Denial:
-		out = append(out, magic, version, kindDenial, bitIf(m.Conclusive, bit0))
+		out = append(out, magic, version, kindDenial, bitIf(m.Conclusive, bit0)|bitIf(m.FlowEnded, bit1))
 		out = byteOrder.AppendUint32(out, m.QueryID)
 		out = byteOrder.AppendUint32(out, uint32(m.Host))
 		return appendKey(out, m.Key)
+	case Registration:
+		return append(out, magic, version, kindRegistration, byte(m.Status))
 	default:
 		return out
 	}
@@ -93,7 +98,7 @@
 }
 
 func appendLoadReport(out []byte, m *LoadReport) []byte {
-	out = append(out, magic, version, kindLoadReport, bitIf(m.Proven, bit0)|bitIf(m.WantsMembers, bit1)|bitIf(m.Refuses, bit2), byte(m.State))
+	out = append(out, magic, version, kindLoadReport, bitIf(m.Proven, bit0)|bitIf(m.WantsMembers, bit1)|bitIf(m.Refuses, bit2)|bitIf(m.Registered, bit3)|bitIf(m.WantsRegistration, bit4)|bitIf(m.EndpointEnded, bit5), byte(m.State))
 	out = byteOrder.AppendUint32(out, uint32(m.Host))
 	out = byteOrder.AppendUint64(out, m.Process)
 	out = byteOrder.AppendUint64(out, uint64(m.Service))
@@ -109,7 +114,7 @@
 
 func appendHeartbeat(out []byte, m Heartbeat) []byte {
 	// bit2 tells that the version of the plan follows, which earlier releases do not send.
-	out = append(out, magic, version, kindHeartbeat, bitIf(m.Leaving, bit0)|bitIf(m.WantsMembers, bit1)|bit2)
+	out = append(out, magic, version, kindHeartbeat, bitIf(m.Leaving, bit0)|bitIf(m.WantsMembers, bit1)|bit2|bitIf(m.StoreLost, bit3))
 	out = byteOrder.AppendUint32(out, uint32(m.Host))
 	out = byteOrder.AppendUint64(out, m.Process)
 	out = byteOrder.AppendUint64(out, m.Revision)
@@ -151,6 +156,10 @@
 		m = r.ownerQuery()
 	case kindDenial:
 		m = r.denial()
+	case kindRegistration:
+		m = Registration{
+			Status: RegistrationStatus(r.byte()),
+		}
 	default:
 		return nil, ErrUnknownFormat
 	}
@@ -224,6 +233,7 @@
 	m := Return{
 		Conclusive:    bits&bit0 != 0,
 		ListExhausted: bits&bit1 != 0,
+		FlowEnded:     bits&bit2 != 0,
 		Reason:        r.byte(),
 		LookupStage:   r.byte(),
 		Host:          r.host(),
@@ -264,9 +274,10 @@
 }
 
 func (r *reader) denial() Denial {
-	sure := r.byte()&bit0 != 0
+	bits := r.byte()
 	return Denial{
-		Conclusive: sure,
+		Conclusive: bits&bit0 != 0,
+		FlowEnded:  bits&bit1 != 0,
 		QueryID:    r.uint32(),
 		Host:       r.host(),
 		Key:        r.key(),
@@ -276,9 +287,14 @@
 func (r *reader) loadReport() LoadReport {
 	bits := r.byte()
 	return LoadReport{
-		Proven:          bits&bit0 != 0,
-		WantsMembers:    bits&bit1 != 0,
-		Refuses:         bits&bit2 != 0,
+		Proven:       bits&bit0 != 0,
+		WantsMembers: bits&bit1 != 0,
+		Refuses:      bits&bit2 != 0,
+		Registered:   bits&bit3 != 0,
+
+		WantsRegistration: bits&bit4 != 0,
+		EndpointEnded:     bits&bit5 != 0,
+
 		State:           node.State(r.byte()),
 		Host:            r.host(),
 		Process:         r.uint64(),
@@ -301,6 +317,7 @@
 	m := Heartbeat{
 		Leaving:      bits&bit0 != 0,
 		WantsMembers: bits&bit1 != 0,
+		StoreLost:    bits&bit3 != 0,
 		Host:         r.host(),
 		Process:      r.uint64(),
 		Revision:     r.uint64(),
--- a/internal/relay/frame/frame.go
+++ b/internal/relay/frame/frame.go
@@ -28,6 +28,8 @@
 	kindMemberList = 6
 	kindOwnerQuery = 7
 	kindDenial     = 8
+	// kindRegistration is unknown to earlier releases, which drop it.
+	kindRegistration = 9
 
 	headerBytes = 3
 	// MaxList limits the candidate list that a balancer sends.
@@ -45,7 +47,7 @@
 )
 
 // Message is the content of one datagram: *Forward, Return, Owner, LoadReport,
-// Heartbeat, MemberList, OwnerQuery or Denial.
+// Heartbeat, MemberList, OwnerQuery, Denial or Registration.
 type Message interface{ message() }
 
 // Host is the IPv4 address of a balancer or agent. All processes use the same ports.
@@ -133,8 +135,11 @@
 	// ListExhausted reports that every candidate of a list was tried, not only the cached
 	// owner. LookupStage is that of the returned Forward.
 	ListExhausted bool
-	LookupStage   uint8
-	Packet        []byte
+	// FlowEnded reports that the flow was the endpoint's and that the endpoint no longer
+	// holds it, so that no endpoint does.
+	FlowEnded   bool
+	LookupStage uint8
+	Packet      []byte
 }
 
 // Owner announces the owner of a flow.
@@ -163,6 +168,12 @@
 	// Refuses reports that the endpoint bounced a SYN and has not sent a report since the
 	// agent started.
 	Refuses bool
+	// Registered reports that the agent knows that the member record lists it.
+	Registered bool
+	// WantsRegistration requests a Registration. EndpointEnded reports that the endpoint has
+	// ended since the agent was registered, so that it has to be registered anew.
+	WantsRegistration bool
+	EndpointEnded     bool
 	// WantsMembers requests a MemberList regardless of BalancersDigest.
 	WantsMembers bool
 	// StartedAt is the start time of the endpoint in Unix milliseconds, or 0 if unknown.
@@ -202,6 +213,8 @@
 	// any balancer, or StoreAgeUnknown if there was none.
 	StoreAgeMS uint32
 	Leaving    bool
+	// StoreLost reports that the store did not answer the sender's last call.
+	StoreLost bool
 	// WantsMembers requests a MemberList.
 	WantsMembers bool
 }
@@ -220,6 +233,26 @@
 	StartedAt uint64
 }
 
+// Registration tells an agent that is not registered whether the member record lists it. It
+// answers a load report with WantsRegistration. Balancers of earlier releases do not send it.
+type Registration struct {
+	Status RegistrationStatus
+}
+
+// RegistrationStatus is what a balancer knows of an agent's place in the member record.
+type RegistrationStatus uint8
+
+// Values of RegistrationStatus.
+const (
+	// RegistrationPending: the record does not list the agent yet.
+	RegistrationPending RegistrationStatus = iota
+	// RegistrationDone: the record lists the agent.
+	RegistrationDone
+	// RegistrationImpossible: the record does not list the agent, and the store does not
+	// answer the balancer.
+	RegistrationImpossible
+)
+
 // OwnerQuery asks an agent whether its endpoint owns a flow.
 type OwnerQuery struct {
 	// QueryID identifies the query. A Denial repeats it.
@@ -240,6 +273,8 @@
 	Key     link.Key
 	// Conclusive is false if the agent cannot decide without a packet of the flow.
 	Conclusive bool
+	// FlowEnded is as in Return.
+	FlowEnded bool
 }
 
 func (*Forward) message()   {}
@@ -250,3 +285,5 @@
 func (MemberList) message() {}
 func (OwnerQuery) message() {}
 func (Denial) message()     {}
+
+func (Registration) message() {}
--- a/internal/relay/frame/frame_test.go
+++ b/internal/relay/frame/frame_test.go
@@ -36,6 +36,7 @@
 			Reason:        3,
 			Conclusive:    true,
 			ListExhausted: true,
+			FlowEnded:     true,
 			LookupStage:   2,
 			Packet:        []byte("packet"),
 		},
@@ -52,13 +53,18 @@
 			Known:           true,
 		},
 		frame.LoadReport{
-			Host:            1,
-			Process:         2,
-			Service:         3,
-			Zone:            4,
-			State:           node.Draining,
-			Proven:          true,
-			Refuses:         true,
+			Host:       1,
+			Process:    2,
+			Service:    3,
+			Zone:       4,
+			State:      node.Draining,
+			Proven:     true,
+			Refuses:    true,
+			Registered: true,
+
+			WantsRegistration: true,
+			EndpointEnded:     true,
+
 			WantsMembers:    true,
 			StartedAt:       5,
 			Sequence:        6,
@@ -77,6 +83,7 @@
 			Revision:     3,
 			StoreAgeMS:   4,
 			Leaving:      true,
+			StoreLost:    true,
 			WantsMembers: true,
 		},
 		frame.MemberList{
@@ -109,6 +116,10 @@
 				Protocol:   6,
 			},
 			Conclusive: true,
+			FlowEnded:  true,
+		},
+		frame.Registration{
+			Status: frame.RegistrationImpossible,
 		},
 	}
 }
--- a/internal/relay/port/port.go
+++ b/internal/relay/port/port.go
@@ -70,10 +70,11 @@
 	// Era is the era of the store in which the record was written. In a later one it may
 	// lack agents that joined after the copy that the store came back from.
 	Era uint64
-	// Present are the agents with endpoints that may own flows.
-	Present []frame.Host
-	// Departed are the agents with endpoints that stopped recently.
-	Departed []frame.Host
+	// Complete is set if the record lists every agent whose endpoint may hold flows. Earlier
+	// releases do not set it.
+	Complete bool
+	// Agents are the registered agents.
+	Agents []frame.Host
 	// Revision is that of the record in the store. A record to be written has the revision
 	// that it replaces. 0 stands for no record.
 	Revision uint64
@@ -93,6 +94,9 @@
 	// AddBalancers adds balancers to the balancer directory. The name is that of the process
 	// that adds them.
 	AddBalancers(ctx context.Context, hosts []frame.Host, name string) error
+	// Members reads the member record, and the position of the store if it tells it. Without a
+	// record the revision is 0.
+	Members(ctx context.Context) (Members, plan.Position, error)
 	// WriteMembers replaces the member record of revision m.Revision. It returns the revision
 	// that the store holds, also with ErrConflict.
 	WriteMembers(ctx context.Context, m Members) (revision uint64, err error)
--- a/internal/relay/roster/agent.go
+++ b/internal/relay/roster/agent.go
@@ -16,8 +16,9 @@
 	SentSinceReport int
 	// Unanswered counts the SYNs that the agent has left unanswered since it was last heard.
 	Unanswered int
-	// joinedAt is when the first report came, or the first one for the current service.
-	joinedAt time.Time
+	// unregisteredSince is when an agent with EndpointEnded first reported that it has to be
+	// registered anew.
+	unregisteredSince time.Time
 }
 
 // Silent reports whether the agent has missed its reports.
--- a/internal/relay/roster/record.go
+++ b/internal/relay/roster/record.go
@@ -6,75 +6,154 @@
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
 )
 
-// recordInterval is the interval at which the balancer that writes the member record checks
-// whether it has to.
-const recordInterval = time.Second
-
-// Record decides when a balancer writes the member record to the store. One balancer does so
-// for all. A write without an answer may be done seconds later, and may be the last one of a
-// balancer that has ended. Each write therefore has the condition that the store still holds
-// the revision that the balancer has seen last, so that it makes every earlier write that is
-// still pending fail, and a balancer whose last write is not certain, or that takes the work
-// over, writes the record even if it lists the same members. Record is a pure state machine.
+const (
+	// recordCheckInterval is the interval at which the balancer that writes the member record
+	// compares it with the members, recordWriteInterval the least time between two writes.
+	recordCheckInterval = 100 * time.Millisecond
+	recordWriteInterval = time.Second
+	// recordReadInterval is the least time between two reads before a write.
+	recordReadInterval = time.Second
+	// recordDelay is how long after its start a balancer may write the record. By then
+	// balancers that start together know each other, and one of them writes.
+	recordDelay = 500 * time.Millisecond
+)
+
+// RecordCall is a call for the member record: RecordRead, RecordWrite or nil for none.
+type RecordCall interface{ recordCall() }
+
+// RecordRead reads the record. Observe or Abandon must follow.
+type RecordRead struct{}
+
+// RecordWrite writes the record. ConfirmWrite, RejectWrite or Abandon must follow.
+type RecordWrite struct {
+	Agents []frame.Host
+	// Replaces is the revision that the write replaces, 0 for none.
+	Replaces uint64
+	// Complete is set if the agents are all that may hold flows.
+	Complete bool
+}
+
+func (RecordRead) recordCall()  {}
+func (RecordWrite) recordCall() {}
+
+// Record decides when a balancer reads and writes the member record in the store. One
+// balancer writes it for all. A write without an answer may be done seconds later, and may be
+// the last one of a balancer that has ended. Each write therefore has the condition that the
+// store still holds the revision that the balancer has seen last, so that it makes every
+// earlier write that is still pending fail, and a balancer whose last write is not certain, or
+// that takes the work over, writes the record even if it lists the same members. A balancer
+// whose write conflicts reads the record first, since it may list members that this balancer
+// does not know. Record is a pure state machine.
 type Record struct {
-	// revision is that of the record last seen in the store, 0 if the store held none.
+	startedAt time.Time
+	// revision is that of the record last seen in the store, 0 if the store held none. known is
+	// set once the store has answered.
 	revision uint64
+	known    bool
 	// written identifies the members of the last write. certain is set while nothing has come
 	// up since it began because of which the store may hold another record.
 	written uint64
 	certain bool
-	writing bool
+	// outdated is set while the store is known to hold another revision than the one read.
+	outdated bool
+	// calling is set while a read or a write is in progress.
+	calling bool
 	checkAt time.Time
+	readAt  time.Time
+	writeAt time.Time
+	// complete is set if every agent that may hold flows is known to be in the record or to
+	// this balancer, so that the next write may say so.
+	complete bool
 }
 
-// Observe records the revision of the record that the store holds.
-func (r *Record) Observe(revision uint64) {
-	r.revision = revision
-	r.certain = false
+// NewRecord returns the Record of a balancer that started at the given time.
+func NewRecord(startedAt time.Time) *Record {
+	return &Record{
+		startedAt: startedAt,
+	}
 }
 
-// Forget records that another balancer may write the record or that the store may have lost
-// it.
-func (r *Record) Forget() {
-	r.certain = false
+// Next returns the call that is due at a balancer of the given rank.
+func (r *Record) Next(now time.Time, rank int, members *Roster) RecordCall {
+	if rank != 0 {
+		// Another balancer may write the record.
+		r.certain = false
+		return nil
+	}
+	if !r.known || r.calling || now.Before(r.checkAt) || now.Before(r.startedAt.Add(recordDelay)) {
+		return nil
+	}
+	r.checkAt = now.Add(recordCheckInterval)
+	if now.After(r.startedAt.Add(agentTTL)) {
+		// Every open flow is younger than this process.
+		r.complete = true
+	}
+	if r.outdated {
+		return r.startRead(now)
+	}
+	if members.awaitsRecord() {
+		r.certain = false
+	}
+	return r.startWrite(now, members.AgentsToRecord())
 }
 
-// CheckDue reports whether it is time to compare the members with the record.
-func (r *Record) CheckDue(now time.Time) bool {
-	if r.writing || now.Before(r.checkAt) {
-		return false
+func (r *Record) startRead(now time.Time) RecordCall {
+	if now.Before(r.readAt) {
+		return nil
 	}
-	r.checkAt = now.Add(recordInterval)
-	return true
+	r.readAt = now.Add(recordReadInterval)
+	r.calling = true
+	return RecordRead{}
 }
 
-// StartWrite reports whether a record with these members is to be written, and if so the
-// revision that the write replaces. ConfirmWrite, RejectWrite or AbandonWrite must follow.
-func (r *Record) StartWrite(members []frame.Host) (replaces uint64, ok bool) {
-	digest := Digest(members)
-	if r.certain && r.written == digest {
-		return 0, false
+func (r *Record) startWrite(now time.Time, agents []frame.Host) RecordCall {
+	digest := Digest(agents)
+	if len(agents) == 0 || r.certain && r.written == digest || now.Before(r.writeAt) {
+		return nil
 	}
-	r.writing = true
+	r.writeAt = now.Add(recordWriteInterval)
+	r.calling = true
 	r.written = digest
 	r.certain = true
-	return r.revision, true
+	return RecordWrite{
+		Agents:   agents,
+		Replaces: r.revision,
+		Complete: r.complete,
+	}
+}
+
+// Observe records the revision of the record that the store holds, and whether that record is
+// complete. It ends a read.
+func (r *Record) Observe(revision uint64, complete bool) {
+	r.revision = revision
+	r.known = true
+	r.certain = false
+	r.outdated = false
+	r.calling = false
+	r.complete = r.complete || complete
+}
+
+// Restore records that the store has come back from an older copy. Only the balancer that has
+// written the record knows which agents the copy lacks.
+func (r *Record) Restore() {
+	r.complete = r.complete && r.certain
+	r.certain = false
 }
 
 // ConfirmWrite records that the store has made the write, as a revision.
 func (r *Record) ConfirmWrite(revision uint64) {
-	r.writing = false
+	r.calling = false
 	r.revision = revision
 }
 
 // RejectWrite records that the store holds another revision than the write was to replace.
-func (r *Record) RejectWrite(revision uint64) {
-	r.writing = false
-	r.Observe(revision)
+func (r *Record) RejectWrite() {
+	r.Abandon()
+	r.outdated = true
 }
 
-// AbandonWrite records that the outcome of the write is not known.
-func (r *Record) AbandonWrite() {
-	r.writing = false
+// Abandon records that the outcome of the call in progress is not known.
+func (r *Record) Abandon() {
+	r.calling = false
 	r.certain = false
 }
--- a/internal/relay/roster/record_test.go
+++ b/internal/relay/roster/record_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"fmt"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/clementinewing/clementinewing/internal/fake/script"
+	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/relay/roster"
+	"github.com/clementinewing/clementinewing/internal/world/node"
 )
 
-// The event check stands for CheckDue and StartWrite; done, conflict and lost for
-// ConfirmWrite, RejectWrite and AbandonWrite.
+// The event check stands for Next, with the members as agents that have reported; done,
+// conflict and lost for ConfirmWrite, RejectWrite and Abandon. The balancer started a second
+// before.
 var _ = Describe("Record", func() {
 	cases, err := script.Read("testdata/record/*.txt")
 	if err != nil {
@@ -19,29 +23,24 @@
 	}
 	for _, c := range cases {
 		It(c.Name, func() {
-			var r roster.Record
+			r := roster.NewRecord(time.UnixMilli(-1000).UTC())
 			for i := range c.Lines {
 				l := &c.Lines[i]
 				revision := uint64(l.Int("revision", 0))
 				got := ""
 				switch l.Event {
 				case "observe":
-					r.Observe(revision)
-				case "forget":
-					r.Forget()
+					r.Observe(revision, l.Has("complete"))
+				case "restore":
+					r.Restore()
 				case "check":
-					if !r.CheckDue(l.At) {
-						break
-					}
-					if replaces, ok := r.StartWrite(parseHosts(l.Ints("members"))); ok {
-						got = fmt.Sprintf("replace %d", replaces)
-					}
+					got = checkRecord(r, l)
 				case "done":
 					r.ConfirmWrite(revision)
 				case "conflict":
-					r.RejectWrite(revision)
+					r.RejectWrite()
 				case "lost":
-					r.AbandonWrite()
+					r.Abandon()
 				default:
 					panic("no event " + l.Event)
 				}
@@ -50,3 +49,25 @@
 		})
 	}
 })
+
+func checkRecord(r *roster.Record, l *script.Line) string {
+	members := roster.New(90)
+	for _, h := range parseHosts(l.Ints("members")) {
+		members.ApplyReport(l.At, frame.LoadReport{
+			Host:     h,
+			State:    node.Serving,
+			Sequence: 1,
+		})
+	}
+	switch c := r.Next(l.At, l.Int("rank", 0), members).(type) {
+	case roster.RecordRead:
+		return "read"
+	case roster.RecordWrite:
+		if c.Complete {
+			return fmt.Sprintf("replace %d, complete", c.Replaces)
+		}
+		return fmt.Sprintf("replace %d", c.Replaces)
+	default:
+		return ""
+	}
+}
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -78,12 +78,11 @@
 	// expected are agents that another balancer knows and from which this one has had no
 	// report.
 	expected map[frame.Host]expectation
-	// recorded are the agents in the member record that was read at start. The value is
-	// whether the endpoint was present. An agent whose endpoint had stopped and that starts
-	// again without an endpoint is not a new member.
-	recorded map[frame.Host]bool
-	// lastJoinAt is when the last member joined that was not expected.
-	lastJoinAt time.Time
+	// registered are the agents in the member record as last seen.
+	registered map[frame.Host]registration
+	// recordCalledAt is when the latest store call started that has shown a complete member
+	// record.
+	recordCalledAt time.Time
 }
 
 // New returns an empty roster of the balancer at self.
@@ -94,7 +93,8 @@
 		balancers: map[frame.Host]*Balancer{},
 		services:  map[spec.ServiceID][]*Agent{},
 		expected:  map[frame.Host]expectation{},
-		recorded:  map[frame.Host]bool{},
+
+		registered: map[frame.Host]registration{},
 	}
 }
 
@@ -108,17 +108,10 @@
 		return false
 	}
 	if !ok {
-		s = &Agent{
-			joinedAt: now,
-		}
+		s = &Agent{}
 		s.Host = l.Host
 		r.agents[l.Host] = s
 		r.all = withAgent(r.all, s)
-		_, expected := r.expected[l.Host]
-		_, recorded := r.recorded[l.Host]
-		if !expected && !recorded {
-			r.lastJoinAt = now
-		}
 		delete(r.expected, l.Host)
 	}
 	changed = !ok || s.State != l.State || s.Service != l.Service || s.StartedAt != l.StartedAt || s.Proven != l.Proven
@@ -126,12 +119,7 @@
 	if moved && ok {
 		r.removeFromService(s)
 	}
-	if present, recorded := r.recorded[l.Host]; moved && ok || recorded && !present && l.StartedAt != 0 && l.State == node.Serving {
-		// The agent has another endpoint than the record says.
-		delete(r.recorded, l.Host)
-		s.joinedAt = now
-		r.lastJoinAt = now
-	}
+	r.trackRegistration(now, s, &l)
 	s.LoadReport = l
 	s.HeardAt = now
 	s.ColdUntil = now.Add(time.Duration(l.ColdMS) * time.Millisecond)
@@ -268,41 +256,6 @@
 	return true
 }
 
-// ApplyRecord applies the member record that was read at start: the agents that were
-// present, which are expected, and those whose endpoints had stopped. It returns the
-// expected ones that have not been heard.
-func (r *Roster) ApplyRecord(now time.Time, present, left []frame.Host) (missing []frame.Host) {
-	for _, h := range left {
-		r.recorded[h] = false
-	}
-	for _, h := range present {
-		r.recorded[h] = true
-		if r.ExpectAgent(now, h) {
-			missing = append(missing, h)
-		}
-	}
-	// Some recorded agents may have been heard before the record was read.
-	r.lastJoinAt = time.Time{}
-	for h, s := range r.agents {
-		if _, recorded := r.recorded[h]; !recorded && s.joinedAt.After(r.lastJoinAt) {
-			r.lastJoinAt = s.joinedAt
-		}
-	}
-	return missing
-}
-
-// DepartedAgents returns the hosts of the agents whose endpoints have stopped within
-// goneTTL.
-func (r *Roster) DepartedAgents() (list []frame.Host) {
-	for h, s := range r.agents {
-		if s.State == node.Gone {
-			list = append(list, h)
-		}
-	}
-	slices.Sort(list)
-	return list
-}
-
 // Isolated reports whether so few agents still report to this balancer that the fault may
 // be its own.
 func (r *Roster) Isolated(now time.Time) bool {
@@ -319,20 +272,6 @@
 	return float64(heard) < minHeardShare*float64(known) || heard == 0
 }
 
-// MembersComplete reports whether every agent that others know has reported to this
-// balancer or is no longer expected, and the last one joined long enough ago to be known to
-// all balancers.
-func (r *Roster) MembersComplete(now time.Time) bool {
-	r.expireExpected(now)
-	return len(r.expected) == 0 && now.After(r.lastJoinAt.Add(r.JoinDelay()))
-}
-
-// JoinDelay returns the time in which an agent that has joined reports to every balancer: the
-// interval between two of its reports and their delay.
-func (r *Roster) JoinDelay() time.Duration {
-	return ReportInterval(len(r.balancers)+1) + reportDelay
-}
-
 // ApplyHeartbeat applies a heartbeat and reports whether the balancer is new or has
 // restarted.
 func (r *Roster) ApplyHeartbeat(now time.Time, p frame.Heartbeat) (added bool) {
@@ -394,13 +333,39 @@
 	return list
 }
 
-// Rank returns the rank, by address, of this balancer among those that have missed no more
-// than a few heartbeats and are not leaving. Work that one balancer does for all is done by
+// Fitness says how well a balancer can do work that one balancer does for all.
+type Fitness struct {
+	// StoreLost is set while the store does not answer the balancer, Leaving while the balancer
+	// is about to stop.
+	StoreLost bool
+	Leaving   bool
+}
+
+// order returns a number that is lower for a balancer that is fitter.
+func (f Fitness) order() (n int) {
+	if f.StoreLost {
+		n += 2
+	}
+	if f.Leaving {
+		n++
+	}
+	return n
+}
+
+// Rank returns the rank of this balancer among those that have missed no more than a few
+// heartbeats, by fitness and then by address. Work that one balancer does for all is done by
 // the one of rank 0.
-func (r *Roster) Rank(now time.Time) (rank int) {
+func (r *Roster) Rank(now time.Time, own Fitness) (rank int) {
 	liveTimeout := maxMissedHeartbeats*HeartbeatInterval(len(r.balancers)) + heartbeatDelay
 	for h, b := range r.balancers {
-		if h < r.self && b.Heard && !b.Leaving && now.Before(b.HeardAt.Add(liveTimeout)) {
+		if !b.Heard || !now.Before(b.HeardAt.Add(liveTimeout)) {
+			continue
+		}
+		other := Fitness{
+			StoreLost: b.StoreLost,
+			Leaving:   b.Leaving,
+		}
+		if o, n := other.order(), own.order(); o < n || o == n && h < r.self {
 			rank++
 		}
 	}
@@ -432,10 +397,12 @@
 			r.removeFromService(s)
 			r.all = withoutAgent(r.all, s)
 			delete(r.agents, h)
+			delete(r.registered, h)
 			agents = append(agents, h)
 		}
 	}
 	r.expireExpected(now)
+	r.expireRegistered(now)
 	for h, b := range r.balancers {
 		if now.After(b.HeardAt.Add(balancerTTL)) {
 			delete(r.balancers, h)
--- a/internal/relay/roster/roster_test.go
+++ b/internal/relay/roster/roster_test.go
@@ -15,9 +15,10 @@
 )
 
 // Hosts are small numbers; the balancer is 90. The events load, name, meet, named, written
-// and expire change the roster; takes, owns, turn, complete and isolated query it. They
-// stand for ApplyReport, AddBalancer, ApplyHeartbeat, ExpectAgent, ApplyRecord and Expire;
-// AcceptsFlows, MayOwn, Rank, MembersComplete and Isolated.
+// and expire change the roster; takes, owns, turn, reachable, registered, lists, shown and
+// isolated query it. They stand for ApplyReport, AddBalancer, ApplyHeartbeat, ExpectAgent,
+// ApplyRecord and Expire; AcceptsFlows, MayOwn, Rank, AllReachable, Registered, AgentsToRecord,
+// RecordCalledAt and Isolated.
 var _ = Describe("Roster", func() {
 	cases, err := script.Read("testdata/*.txt")
 	if err != nil {
@@ -44,13 +45,19 @@
 			Host:    host,
 			Process: uint64(l.Int("process", 1)),
 			Leaving: l.Has("leaving"),
+
+			StoreLost: l.Has("storeless"),
 		}), "added")
 	case "name":
 		return textIf(r.AddBalancer(l.At, host), "added")
 	case "named":
 		return textIf(r.ExpectAgent(l.At, host), "not heard")
 	case "written":
-		return joinHosts(r.ApplyRecord(l.At, parseHosts(l.Ints("present")), parseHosts(l.Ints("left"))))
+		return joinHosts(r.ApplyRecord(l.At, roster.RecordContent{
+			Agents:   parseHosts(l.Ints("present")),
+			CalledAt: l.At,
+			Complete: !l.Has("incomplete"),
+		}))
 	case "expire":
 		agents, balancers := r.Expire(l.At)
 		return textIf(len(agents)+len(balancers) > 0, "forgotten")
@@ -58,12 +65,24 @@
 		return textIf(r.Agent(host).AcceptsFlows(l.At), "yes")
 	case "owns":
 		return textIf(r.Agent(host).MayOwn(l.At, r.Isolated(l.At)), "yes")
-	case "complete":
-		return textIf(r.MembersComplete(l.At), "yes")
+	case "reachable":
+		return textIf(r.AllReachable(l.At), "yes")
+	case "registered":
+		return textIf(r.Registered(host), "yes")
+	case "lists":
+		return joinHosts(r.AgentsToRecord())
+	case "shown":
+		if r.RecordCalledAt().IsZero() {
+			return ""
+		}
+		return strconv.FormatInt(r.RecordCalledAt().UnixMilli(), 10)
 	case "isolated":
 		return textIf(r.Isolated(l.At), "yes")
 	case "turn":
-		return [...]string{"first", "second", "third"}[r.Rank(l.At)]
+		return [...]string{"first", "second", "third"}[r.Rank(l.At, roster.Fitness{
+			StoreLost: l.Has("storeless"),
+			Leaving:   l.Has("leaving"),
+		})]
 	default:
 		panic("no event " + l.Event)
 	}
@@ -101,7 +120,10 @@
 		Sequence:   uint32(l.Int("number", 1)),
 		Refuses:    l.Has("refuses"),
 		Proven:     l.Has("proven"),
-		IntervalMS: uint16(l.Int("every", 250)),
+		Registered: l.Has("registered"),
+
+		EndpointEnded: l.Has("ended"),
+		IntervalMS:    uint16(l.Int("every", 250)),
 	}
 	switch {
 	case l.Has("gone"):
--- a/internal/relay/router/lookup.go
+++ b/internal/relay/router/lookup.go
@@ -11,16 +11,19 @@
 )
 
 // lookupRetry is a packet whose lookup found no owner. The lookup is repeated until it
-// finds one, every endpoint has denied the flow twice, or the retries are used up.
+// finds one, every agent of a member record that was read since it began has denied the flow,
+// or the retries are used up.
 type lookupRetry struct {
 	key     link.Key
 	packet  link.Packet
 	raw     []byte
 	retryAt time.Time
 	tries   int
-	// deniedAt is when every endpoint had denied the flow; zero if the last lookup was
-	// not conclusive.
-	deniedAt time.Time
+	// scheduled is set while the retry is in the list of retries.
+	scheduled bool
+	// awaitsRecord is set if every known agent has denied the flow. The lookup is then repeated
+	// once the member record has been read.
+	awaitsRecord bool
 }
 
 // lookupState is the outcome of earlier steps of an owner lookup.
@@ -49,6 +52,10 @@
 		return
 	}
 	list, complete := g.lookupCandidates(now, p.Key, route)
+	stage := uint8(stageSequential)
+	if g.recordProves(g.flows[p.Key]) {
+		stage = stageProven
+	}
 	list = withoutHost(list, s.denier, !s.undecided)
 	if len(list) == 0 {
 		g.addAction(Drop{
@@ -76,7 +83,7 @@
 		Forward: &frame.Forward{
 			Flags:           flags,
 			Best:            frame.NoBest,
-			LookupStage:     stageSequential,
+			LookupStage:     stage,
 			LatencyTargetMS: latencyTargetMS(route),
 			Priority:        route.Priority,
 			Service:         route.ChooseService(p.Key.Hash()),
@@ -111,14 +118,12 @@
 }
 
 // lookupCandidates lists all agents whose endpoints may own a flow, those of the
-// route's services first. The list counts as complete once all known members have
-// reported and every other one has had time to.
+// route's services first. The list is complete if it holds all that this balancer knows.
 func (g *Router) lookupCandidates(now time.Time, key link.Key, route *plan.Route) (list []frame.Host, complete bool) {
 	hash := key.Hash()
 	isolated := g.members.Isolated(now)
 	list = place.OwnerCandidates(now, hash, isolated, g.members.Agents(), route.Services(hash))
-	complete = !isolated && g.members.MembersComplete(now) && g.membersKnown(now)
-	return list, complete
+	return list, !isolated && g.members.AllReachable(now)
 }
 
 // homeOf returns the agent that stores the owner of a flow, or 0.
@@ -154,11 +159,15 @@
 		g.handleRejection(x, e)
 		return
 	}
+	if e.FlowEnded {
+		g.handleEndedFlow(now, x, p)
+		return
+	}
 	if !e.ListExhausted {
 		g.handleOwnerDenial(now, x, e)
 		return
 	}
-	if e.LookupStage != stageSequential {
+	if e.LookupStage != stageSequential && e.LookupStage != stageProven {
 		g.handleQueryReturn(now, x, e)
 		return
 	}
@@ -167,14 +176,19 @@
 			return
 		}
 	}
-	g.recordNoOwner(now, x, p, e.Return.Packet, e.Conclusive)
+	g.recordNoOwner(now, x, p, e.Return.Packet, outcome{
+		conclusive: e.Conclusive,
+		proven:     e.LookupStage == stageProven,
+	})
 }
 
-// recordNoOwner handles a lookup that found no owner. It is conclusive if every
-// candidate of a complete list has denied the flow.
-func (g *Router) recordNoOwner(now time.Time, x *flow, p link.Packet, raw []byte, conclusive bool) {
+// recordNoOwner handles a lookup that found no owner.
+func (g *Router) recordNoOwner(now time.Time, x *flow, p link.Packet, raw []byte, o outcome) {
+	if x.lookedUpSince.IsZero() {
+		x.lookedUpSince = now
+	}
 	if !wantsAnswer(p) {
-		if conclusive && x.owners[0].host == 0 {
+		if o.conclusive && o.proven && x.owners[0].host == 0 {
 			x.noOwnerUntil = now.Add(noOwnerTTL)
 			x.expiresAt = x.noOwnerUntil
 		}
@@ -185,12 +199,28 @@
 		return
 	}
 	x.expiresAt = now.Add(openingTTL)
-	g.retryOrReset(now, x, p, raw, conclusive)
+	g.retryOrReset(now, x, p, raw, o)
 }
 
-// retryOrReset schedules another lookup, or resets the flow if two conclusive
-// lookups at least confirmDelay apart found no owner.
-func (g *Router) retryOrReset(now time.Time, x *flow, p link.Packet, raw []byte, conclusive bool) {
+// outcome says what a lookup that found no owner has shown.
+type outcome struct {
+	// conclusive is set if every agent that this balancer knows has denied the flow.
+	conclusive bool
+	// proven is set if the list of agents included all that may hold the flow.
+	proven bool
+}
+
+// retryOrReset schedules another lookup, or resets the flow if every agent that may hold it
+// has denied it.
+func (g *Router) retryOrReset(now time.Time, x *flow, p link.Packet, raw []byte, o outcome) {
+	if o.conclusive && o.proven {
+		delete(g.flows, p.Key)
+		g.addAction(Reset{
+			Packet: p,
+			Reason: AllDenied,
+		})
+		return
+	}
 	d := x.retry
 	if d == nil {
 		d = &lookupRetry{
@@ -199,26 +229,16 @@
 			raw:    slices.Clone(raw),
 		}
 	}
-	wait := confirmDelay
-	switch {
-	case !conclusive:
-		wait = retryDelay
-		d.deniedAt = time.Time{}
-	case d.deniedAt.IsZero():
-		d.deniedAt = now
-	case !now.Before(d.deniedAt.Add(confirmDelay)):
-		delete(g.flows, p.Key)
-		g.addAction(Reset{
-			Packet: p,
-			Reason: AllDenied,
-		})
-		return
+	wait := retryDelay
+	if o.conclusive {
+		wait = confirmDelay
+		g.addAction(ReadRecord{})
 	}
 	g.addAction(Drop{
 		Packet: p,
 		Reason: OwnerUnknown,
 	})
-	if d.retryAt.After(now) || len(g.retries) >= maxPendingRetries {
+	if d.scheduled || len(g.retries) >= maxPendingRetries {
 		return
 	}
 	if d.tries >= maxLookupRetries {
@@ -228,6 +248,8 @@
 	x.retry = d
 	d.tries++
 	d.retryAt = now.Add(wait)
+	d.awaitsRecord = o.conclusive
+	d.scheduled = true
 	g.retries = append(g.retries, d)
 }
 
@@ -252,19 +274,60 @@
 func (g *Router) retryLookups(now time.Time) {
 	var due []*lookupRetry
 	g.retries = slices.DeleteFunc(g.retries, func(d *lookupRetry) bool {
-		if now.Before(d.retryAt) {
+		x, ok := g.flows[d.key]
+		if !ok || x.retry != d {
+			return true
+		}
+		if now.Before(d.retryAt) || d.awaitsRecord && !g.recordProves(x) {
 			return false
 		}
+		d.scheduled = false
 		due = append(due, d)
 		return true
 	})
 	for _, d := range due {
-		if x, ok := g.flows[d.key]; ok && x.retry == d {
-			g.lookupOwner(now, d.packet, d.raw, lookupState{})
+		g.lookupOwner(now, d.packet, d.raw, lookupState{})
+	}
+}
+
+// requestRecord requests the member record while a lookup waits for it.
+func (g *Router) requestRecord() {
+	for _, d := range g.retries {
+		if x, ok := g.flows[d.key]; ok && x.retry == d && d.awaitsRecord && !g.recordProves(x) {
+			g.addAction(ReadRecord{})
+			return
 		}
 	}
 }
 
+// recordProves reports whether the member record has been read since the lookup of a flow
+// began, so that the agents in it are all that may hold the flow.
+func (g *Router) recordProves(x *flow) bool {
+	return x != nil && !x.lookedUpSince.IsZero() && g.members.RecordCalledAt().After(x.lookedUpSince)
+}
+
+// handleEndedFlow handles a packet of a flow that has ended with its endpoint.
+func (g *Router) handleEndedFlow(now time.Time, x *flow, p link.Packet) {
+	if !wantsAnswer(p) {
+		if x != nil {
+			x.owners = [2]owner{}
+			x.query = nil
+			x.noOwnerUntil = now.Add(noOwnerTTL)
+			x.expiresAt = x.noOwnerUntil
+		}
+		g.addAction(Drop{
+			Packet: p,
+			Reason: OwnerUnknown,
+		})
+		return
+	}
+	delete(g.flows, p.Key)
+	g.addAction(Reset{
+		Packet: p,
+		Reason: OwnerRestarted,
+	})
+}
+
 // handleOwnerDenial handles a packet returned by the endpoint that this balancer took
 // for the owner. If its denial is conclusive although it did own the flow, it has
 // restarted and the flow is lost. Otherwise another endpoint is the owner.
--- a/internal/relay/router/open.go
+++ b/internal/relay/router/open.go
@@ -7,7 +7,9 @@
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/relay/place"
 	"github.com/clementinewing/clementinewing/internal/relay/plan"
+	"github.com/clementinewing/clementinewing/internal/relay/roster"
 	"github.com/clementinewing/clementinewing/internal/world/link"
+	"github.com/clementinewing/clementinewing/internal/world/node"
 	"github.com/clementinewing/clementinewing/internal/world/spec"
 )
 
@@ -106,9 +108,12 @@
 }
 
 // refuseUnplaced refuses a SYN that no endpoint takes. A balancer that has just started
-// drops it instead, because no agent may have reported yet.
+// drops it instead if an endpoint may take it soon: no agent has reported yet, or one that
+// has is about to join.
 func (g *Router) refuseUnplaced(now time.Time, service spec.ServiceID, p Packet) {
-	if len(g.members.ServiceAgents(service)) == 0 && now.Before(g.startedAt.Add(startupTimeout)) {
+	agents := g.members.ServiceAgents(service)
+	joining := slices.ContainsFunc(agents, func(s *roster.Agent) bool { return s.State == node.Joining })
+	if (len(agents) == 0 || joining) && now.Before(g.startedAt.Add(startupTimeout)) {
 		g.addAction(Drop{
 			Packet: p.Packet,
 			Reason: Starting,
--- a/internal/relay/router/owner.go
+++ b/internal/relay/router/owner.go
@@ -16,8 +16,7 @@
 }
 
 // ownerAbsent reports whether an owner has stopped or, unless this balancer is isolated,
-// has been silent for too long. Its flows are then looked up elsewhere, and reset if no
-// other endpoint holds them.
+// has been silent for too long. Its flows are then looked up elsewhere.
 func (g *Router) ownerAbsent(now time.Time, h frame.Host) bool {
 	s := g.members.Agent(h)
 	return s != nil && !s.MayOwn(now, true) || s != nil && !s.MayOwn(now, false) && !g.members.Isolated(now)
@@ -68,6 +67,7 @@
 	}
 	x.pending = nil
 	x.retry = nil
+	x.lookedUpSince = time.Time{}
 	x.noOwnerUntil = time.Time{}
 	next := owner{
 		host:            o.Host,
--- a/internal/relay/router/query.go
+++ b/internal/relay/router/query.go
@@ -50,11 +50,15 @@
 // stageCount is the number of stage values.
 const stageCount = 250
 
+// stageProven is stageSequential with a list that holds every agent of a member record that
+// was read since the lookup began.
+const stageProven = stageCount
+
 // OwnerQuery sends an owner query to agents.
 type OwnerQuery struct {
 	To    []frame.Host
 	Query frame.OwnerQuery
-	// ListComplete is set if no other agent may own the flow.
+	// ListComplete is set if all agents that this balancer knows are asked.
 	ListComplete bool
 }
 
@@ -82,8 +86,10 @@
 	undecided    []frame.Host
 	forwarded    []frame.Host
 	pendingLists int
-	// complete is set if every agent that may own the flow is asked.
+	// complete is set if every agent that this balancer knows is asked, proven if these are all
+	// that may own the flow.
 	complete bool
+	proven   bool
 	// deadline is when the current stage ends without further answers.
 	deadline time.Time
 }
@@ -132,6 +138,9 @@
 		})
 		return
 	}
+	if x.lookedUpSince.IsZero() {
+		x.lookedUpSince = now
+	}
 	q := &query{
 		key: p.Key,
 	}
@@ -190,6 +199,7 @@
 	q.homePending = false
 	q.awaiting = list
 	q.complete = complete
+	q.proven = g.recordProves(g.flows[q.key])
 	q.deadline = now.Add(queryTimeout)
 	p := &q.held[0]
 	g.addAction(OwnerQuery{
@@ -235,6 +245,11 @@
 		return
 	}
 	q.awaiting = slices.Delete(q.awaiting, at, at+1)
+	if d.FlowEnded {
+		x.query = nil
+		g.handleEndedFlow(now, x, q.held[0].Packet)
+		return
+	}
 	if !d.Conclusive {
 		q.undecided = append(q.undecided, d.Host)
 	}
@@ -256,7 +271,10 @@
 	}
 	x.query = nil
 	first := q.held[0]
-	g.recordNoOwner(now, x, first.Packet, first.Raw, q.complete)
+	g.recordNoOwner(now, x, first.Packet, first.Raw, outcome{
+		conclusive: q.complete,
+		proven:     q.proven,
+	})
 }
 
 func (g *Router) forwardToUndecided(now time.Time, q *query) {
--- a/internal/relay/router/query_test.go
+++ b/internal/relay/router/query_test.go
@@ -47,7 +47,9 @@
 		})
 		g := router.New(self, 1, start, members, active)
 		now := start.Add(2 * time.Second)
+		var hosts []frame.Host
 		for i := range endpoints {
+			hosts = append(hosts, frame.Host(i+1))
 			members.ApplyReport(now.Add(-time.Second), frame.LoadReport{
 				Host:       frame.Host(i + 1),
 				Service:    spec.NewServiceID(fmt.Sprint(i % services)),
@@ -109,6 +111,12 @@
 								},
 							})
 						}
+					case router.ReadRecord:
+						members.ApplyRecord(now, roster.RecordContent{
+							Agents:   hosts,
+							CalledAt: now.Add(time.Microsecond),
+							Complete: true,
+						})
 					case router.Reset:
 						resets++
 					}
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -31,18 +31,14 @@
 	// ownerTTL is how long an owner is kept after the flow's last packet. Flows that are
 	// idle for longer may be discarded.
 	ownerTTL = 30 * time.Second
-	// confirmDelay is the time from a lookup in which every endpoint denied the flow to the
-	// lookup that confirms it. Only after the second one is the flow reset. An owner that
+	// confirmDelay is the least time from a lookup in which every known endpoint denied the
+	// flow to the lookup that confirms it. The member record is read meanwhile. An owner that
 	// was just joining is found by then, and the caller gets the reset soon enough to be
 	// served elsewhere in time.
 	confirmDelay = 50 * time.Millisecond
 	// retryDelay is the delay before an inconclusive lookup is repeated: an endpoint did
 	// not answer, or the candidate list was not complete.
 	retryDelay = 150 * time.Millisecond
-	// membersKnownDelay is the least time after its start from which a balancer may count
-	// the members that have reported as complete: two load reports of an agent. A list of
-	// members that it was given does not show that no other agent has joined since.
-	membersKnownDelay = 600 * time.Millisecond
 	// noOwnerTTL is how long a flow stays marked as having no owner. Its caller gives
 	// up within seconds.
 	noOwnerTTL = 5 * time.Second
@@ -87,7 +83,7 @@
 func (Returned) event() {}
 func (Tick) event()     {}
 
-// Action is Send, OwnerQuery, Refuse, Reset, Drop or OwnerFound.
+// Action is Send, OwnerQuery, ReadRecord, Refuse, Reset, Drop or OwnerFound.
 type Action interface{ action() }
 
 // Send forwards a packet to an agent.
@@ -125,6 +121,11 @@
 	Latency time.Duration
 }
 
+// ReadRecord requests that the member record be read: a flow has been denied by every agent
+// that this balancer knows. It is repeated until the record has been read.
+type ReadRecord struct{}
+
+func (ReadRecord) action() {}
 func (OwnerFound) action() {}
 func (Send) action()       {}
 func (Refuse) action()     {}
@@ -143,6 +144,9 @@
 	// noOwnerUntil is until when a bare ACK starts no further lookup, because every
 	// endpoint has denied the flow.
 	noOwnerUntil time.Time
+	// lookedUpSince is when the lookup of the owner began; zero while there is none. The flow
+	// is older, so a member record that was read later lists its owner.
+	lookedUpSince time.Time
 	// query is the parallel lookup in progress, or nil.
 	query *query
 	// retry is the lookup to repeat, or nil.
@@ -199,11 +203,6 @@
 	}
 }
 
-// membersKnown reports whether every agent has had time to report to this balancer.
-func (g *Router) membersKnown(now time.Time) bool {
-	return !now.Before(g.startedAt.Add(max(membersKnownDelay, g.members.JoinDelay())))
-}
-
 // Flows returns the size of the flow table.
 func (g *Router) Flows() int {
 	return len(g.flows)
@@ -351,6 +350,7 @@
 
 func (g *Router) handleTick(now time.Time) {
 	g.retryLookups(now)
+	g.requestRecord()
 	g.checkQueries(now)
 	kept := g.pending[:0]
 	for _, o := range g.pending {
--- a/internal/relay/router/script_test.go
+++ b/internal/relay/router/script_test.go
@@ -26,7 +26,8 @@
 // candidate list, denied one returned by the supposed owner.
 //
 // Words of the scripts and what they stand for: written ApplyRecord, named ExpectAgent,
-// settled ListComplete, unsure CandidateSilent, sure Conclusive, leg LookupStage, ask
+// settled ListComplete, unsure CandidateSilent, sure Conclusive, ended FlowEnded, leg
+// LookupStage, proven its value for a list that holds all that may own the flow, ask
 // OwnerQuery.
 var _ = Describe("Guide", func() {
 	cases, err := script.Read("testdata/*.txt")
@@ -45,6 +46,10 @@
 	flagSyn = 0x02
 	flagRst = 0x04
 	flagAck = 0x10
+
+	// stageProven is the LookupStage of a lookup whose list holds every agent that may own
+	// the flow.
+	stageProven = 250
 )
 
 type fixture struct {
@@ -89,7 +94,11 @@
 		for _, n := range l.Ints("present") {
 			present = append(present, frame.Host(n))
 		}
-		w.members.ApplyRecord(l.At, present, nil)
+		w.members.ApplyRecord(l.At, roster.RecordContent{
+			Agents:   present,
+			CalledAt: l.At,
+			Complete: !l.Has("incomplete"),
+		})
 		return nil
 	case "balancers":
 		for i := range l.Int("count", 0) {
@@ -115,6 +124,7 @@
 				Host:       frame.Host(h),
 				Key:        newPacket(l).Key,
 				Conclusive: l.Has("sure"),
+				FlowEnded:  l.Has("ended"),
 			},
 		})...)
 	}
@@ -134,13 +144,18 @@
 			},
 		}
 	case "denied", "walked", "walkedfin", "walkedack", "rejected":
+		stage := uint8(l.Int("leg", 0))
+		if l.Has("proven") {
+			stage = stageProven
+		}
 		return router.Returned{
 			Packet: p,
 			Return: frame.Return{
 				Host:          frame.Host(l.Int("host", 0)),
 				Conclusive:    l.Has("sure"),
 				ListExhausted: l.Event != "denied",
-				LookupStage:   uint8(l.Int("leg", 0)),
+				FlowEnded:     l.Has("ended"),
+				LookupStage:   stage,
 				Packet:        []byte("packet"),
 			},
 		}
@@ -264,6 +279,9 @@
 			if a.Forward.Flags&frame.CandidateSilent != 0 {
 				text += ", unsure"
 			}
+			if a.Forward.LookupStage == stageProven {
+				text += ", proven"
+			}
 			Expect(a.To).To(Equal(a.Forward.Candidates[0]))
 			out = append(out, text)
 		case router.OwnerQuery:
@@ -272,6 +290,8 @@
 				text += ", settled"
 			}
 			out = append(out, text)
+		case router.ReadRecord:
+			out = append(out, "read record")
 		case router.OwnerFound:
 			out = append(out, fmt.Sprintf("found at %d", a.Host))
 		case router.Refuse:
