router: wait for the owner of a flow while its agent is silent

An owner that had not reported for 2.5 s was taken for absent, and the packets of its flows were given to all other endpoints, none of which can hold them. Silence proves nothing, and a lookup cannot end in a reset while an agent is silent, so it only costs the others packets.

--- a/internal/relay/router/owner.go
+++ b/internal/relay/router/owner.go
@@ -5,6 +5,7 @@
 
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/world/link"
+	"github.com/clementinewing/clementinewing/internal/world/node"
 )
 
 // owner is an endpoint that answered a flow's SYN or queues it.
@@ -15,11 +16,11 @@
 	sequenceKnown   bool
 }
 
-// ownerAbsent reports whether an owner has stopped or, unless this balancer is isolated,
-// has been silent for too long. Its flows are then looked up elsewhere.
-func (g *Router) ownerAbsent(now time.Time, h frame.Host) bool {
+// ownerEnded reports whether the endpoint of an owner has ended. Its flows are then looked up
+// elsewhere. An owner whose agent is silent is waited for: no other endpoint holds its flows.
+func (g *Router) ownerEnded(h frame.Host) bool {
 	s := g.members.Agent(h)
-	return s != nil && !s.MayOwn(now, true) || s != nil && !s.MayOwn(now, false) && !g.members.Isolated(now)
+	return s != nil && s.State == node.Gone
 }
 
 // ackWindow is how far beyond an owner's initial sequence number a caller's
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -260,7 +260,7 @@
 		x.pending = nil
 	}
 	host := x.ownerOf(p.Packet)
-	if host == 0 || g.ownerAbsent(now, host) {
+	if host == 0 || g.ownerEnded(host) {
 		g.lookupOwner(now, p.Packet, p.Raw, lookupState{})
 		return
 	}
