roster, router: register agents that wait without the delay of a second

Callers of a service whose only endpoints had been replaced were refused while their agents waited to be registered: up to a second after the last write of the member record, and half a second after the start of a balancer.

A write that registers an agent is now due 200 ms after the last one, and 200 ms after the start of a balancer. While an agent of the service waits, a SYN that no endpoint takes is dropped, since its retransmission comes 200 ms later, instead of refused.

--- a/internal/relay/roster/record.go
+++ b/internal/relay/roster/record.go
@@ -8,14 +8,17 @@
 
 const (
 	// recordCheckInterval is the interval at which the balancer that writes the member record
-	// compares it with the members, recordWriteInterval the least time between two writes.
+	// compares it with the members.
 	recordCheckInterval = 100 * time.Millisecond
+	// recordWriteInterval is the least time between two writes, and joinWriteInterval while an
+	// agent waits to be registered.
 	recordWriteInterval = time.Second
+	joinWriteInterval   = 200 * time.Millisecond
 	// recordReadInterval is the least time between two reads before a write.
 	recordReadInterval = time.Second
 	// recordDelay is how long after its start a balancer may write the record. By then
 	// balancers that start together know each other, and one of them writes.
-	recordDelay = 500 * time.Millisecond
+	recordDelay = 200 * time.Millisecond
 )
 
 // RecordCall is a call for the member record: RecordRead, RecordWrite or nil for none.
@@ -58,9 +61,12 @@
 	outdated bool
 	// calling is set while a read or a write is in progress.
 	calling bool
-	checkAt time.Time
-	readAt  time.Time
-	writeAt time.Time
+	// checkAt, readAt and writeAt are when the next check, read and write are due at the
+	// earliest, joinWriteAt when a write is that registers an agent.
+	checkAt     time.Time
+	readAt      time.Time
+	writeAt     time.Time
+	joinWriteAt time.Time
 	// complete is set if every agent that may hold flows is known to be in the record or to
 	// this balancer, so that the next write may say so.
 	complete bool
@@ -91,9 +97,17 @@
 	if r.outdated {
 		return r.startRead(now)
 	}
-	if members.awaitsRecord() {
+	dueAt := r.writeAt
+	joining, listed := members.awaitingRegistration()
+	if joining {
+		dueAt = r.joinWriteAt
+	}
+	if listed {
 		r.certain = false
 	}
+	if now.Before(dueAt) {
+		return nil
+	}
 	return r.startWrite(now, members.AgentsToRecord())
 }
 
@@ -108,10 +122,11 @@
 
 func (r *Record) startWrite(now time.Time, agents []frame.Host) RecordCall {
 	digest := Digest(agents)
-	if len(agents) == 0 || r.certain && r.written == digest || now.Before(r.writeAt) {
+	if len(agents) == 0 || r.certain && r.written == digest {
 		return nil
 	}
 	r.writeAt = now.Add(recordWriteInterval)
+	r.joinWriteAt = now.Add(joinWriteInterval)
 	r.calling = true
 	r.written = digest
 	r.certain = true
--- a/internal/relay/roster/record_test.go
+++ b/internal/relay/roster/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -57,6 +58,8 @@
 			Host:     h,
 			State:    node.Serving,
 			Sequence: 1,
+
+			WantsRegistration: slices.Contains(l.Ints("joining"), int(h)),
 		})
 	}
 	switch c := r.Next(l.At, l.Int("rank", 0), members).(type) {
--- a/internal/relay/roster/registry.go
+++ b/internal/relay/roster/registry.go
@@ -94,15 +94,18 @@
 	}
 }
 
-// awaitsRecord reports whether an agent waits for a write of the record although the record
-// lists it.
-func (r *Roster) awaitsRecord() bool {
-	for h := range r.registered {
-		if s, heard := r.agents[h]; heard && s.State != node.Gone && !r.Registered(h) {
-			return true
+// awaitingRegistration reports whether an agent waits to be registered, and whether the record
+// lists such an agent already, so that it has to be written again.
+func (r *Roster) awaitingRegistration() (waits, listed bool) {
+	for _, s := range r.all {
+		if s.WantsRegistration && s.State != node.Gone && !r.Registered(s.Host) {
+			waits = true
+			if _, ok := r.registered[s.Host]; ok {
+				return true, true
+			}
 		}
 	}
-	return false
+	return waits, false
 }
 
 // UnregisteredAgents returns the agents that do not know whether they are registered, sorted.
--- a/internal/relay/router/open.go
+++ b/internal/relay/router/open.go
@@ -107,13 +107,15 @@
 	g.sendOpening(x, x.pending, Placed)
 }
 
-// refuseUnplaced refuses a SYN that no endpoint takes. A balancer that has just started
-// drops it instead if an endpoint may take it soon: no agent has reported yet, or one that
-// has is about to join.
+// refuseUnplaced refuses a SYN that no endpoint takes. It is dropped instead if an endpoint may
+// take its retransmission: the balancer has just started and has heard no agent yet, or an agent
+// waits to be registered.
 func (g *Router) refuseUnplaced(now time.Time, service spec.ServiceID, p Packet) {
 	agents := g.members.ServiceAgents(service)
-	joining := slices.ContainsFunc(agents, func(s *roster.Agent) bool { return s.State == node.Joining })
-	if (len(agents) == 0 || joining) && now.Before(g.startedAt.Add(startupTimeout)) {
+	joining := slices.ContainsFunc(agents, func(s *roster.Agent) bool {
+		return s.State == node.Joining && s.WantsRegistration && !s.Silent(now)
+	})
+	if joining || len(agents) == 0 && now.Before(g.startedAt.Add(startupTimeout)) {
 		g.addAction(Drop{
 			Packet: p.Packet,
 			Reason: Starting,
--- a/internal/relay/router/script_test.go
+++ b/internal/relay/router/script_test.go
@@ -261,6 +261,8 @@
 		Slots:     uint16(l.Int("slots", 10)),
 		InUse:     uint16(l.Int("used", 0)),
 		Average:   uint16(l.Int("used", 0) * 64),
+
+		WantsRegistration: l.Has("registers"),
 	}
 }
 
