soak: restart all balancers and agents in overlapping series as planned work

Processes get the settings of a first start when they start for the first time, as on the platform; without it no member record is complete and no flow is reset as denied by all.

--- a/cmd/cwsoak/main.go
+++ b/cmd/cwsoak/main.go
@@ -27,6 +27,7 @@
 			&cli.DurationFlag{Name: "span", Value: defaultSpan, Usage: "duration of the run of each seed"},
 			&cli.IntFlag{Name: "balancers", Value: 3, Usage: "number of balancers"},
 			&cli.IntFlag{Name: "sides", Value: 6, Usage: "number of endpoints and their agents"},
+			&cli.BoolFlag{Name: "planned", Usage: "restart and replace processes and endpoints as planned work, without faults"},
 			&cli.StringFlag{Name: "binary", Value: "target/cwnode", Usage: "path of the program to run"},
 		},
 		Action: run,
--- a/cmd/cwsoak/run.go
+++ b/cmd/cwsoak/run.go
@@ -80,6 +80,9 @@
 		Agents:    c.Int("sides"),
 	}
 	events := plan.Draw(seed, span, sizes.Balancers, sizes.Agents)
+	if c.Bool("planned") {
+		events = plan.DrawPlanned(seed, span, sizes.Agents)
+	}
 	r = result{
 		Seed:   seed,
 		Faults: map[string]int{},
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -56,11 +56,13 @@
 	folder string
 	server *http.Server
 	// proxy is between the processes and the store.
-	proxy     *proxy.Proxy
-	mutex     sync.Mutex
-	record    verify.Record
-	procs     map[netip.Addr]*exec.Cmd
-	wanted    map[netip.Addr]bool
+	proxy  *proxy.Proxy
+	mutex  sync.Mutex
+	record verify.Record
+	procs  map[netip.Addr]*exec.Cmd
+	wanted map[netip.Addr]bool
+	// away holds how long a process that was stopped stays away.
+	away      map[netip.Addr]time.Duration
 	logs      map[netip.Addr]*os.File
 	endpoints []*fake.Endpoint
 	// replacing lets only one event at a time replace an endpoint.
@@ -95,6 +97,7 @@
 		},
 		procs:     map[netip.Addr]*exec.Cmd{},
 		wanted:    map[netip.Addr]bool{},
+		away:      map[netip.Addr]time.Duration{},
 		logs:      map[netip.Addr]*os.File{},
 		endpoints: make([]*fake.Endpoint, sizes.Agents),
 		replacing: make([]sync.Mutex, sizes.Agents),
@@ -132,6 +135,14 @@
 
 // start starts a process and restarts it whenever it ends.
 func (f *Fleet) start(a netip.Addr, zone, service string) error {
+	first := filepath.Join(f.folder, "first")
+	if err := os.MkdirAll(first, 0o700); err != nil {
+		return err
+	}
+	firstPath, err := f.Net.WriteSettings(first, a, zone, service, seeds, true)
+	if err != nil {
+		return err
+	}
 	path, err := f.Net.WriteSettings(f.folder, a, zone, service, seeds, false)
 	if err != nil {
 		return err
@@ -148,13 +159,15 @@
 	f.logs[a] = out
 	f.wanted[a] = true
 	f.mutex.Unlock()
-	f.group.Go(func() { f.supervise(a, role, path, out) })
+	f.group.Go(func() { f.supervise(a, role, firstPath, path, out) })
 	return nil
 }
 
-func (f *Fleet) supervise(a netip.Addr, role, path string, out *os.File) {
-	for {
-		c := exec.Command(f.binary, role, "--settings", path)
+// supervise runs a process, at its first start with the settings of a system that starts for
+// the first time.
+func (f *Fleet) supervise(a netip.Addr, role, firstPath, path string, out *os.File) {
+	for settings := firstPath; ; settings = path {
+		c := exec.Command(f.binary, role, "--settings", settings)
 		c.Stdout = out
 		c.Stderr = out
 		f.mutex.Lock()
@@ -176,11 +189,31 @@
 		select {
 		case <-f.closing:
 			return
-		case <-time.After(restartDelay):
+		case <-time.After(f.takeAway(a)):
 		}
 	}
 }
 
+// stop ends a process with SIGTERM. It starts again after it has been away for a time.
+func (f *Fleet) stop(a netip.Addr, away time.Duration) {
+	f.mutex.Lock()
+	f.away[a] = away
+	f.mutex.Unlock()
+	f.Signal(a, syscall.SIGTERM)
+}
+
+// takeAway returns how long the process that has just ended stays away.
+func (f *Fleet) takeAway(a netip.Addr) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	away, ok := f.away[a]
+	if !ok {
+		away = restartDelay
+	}
+	delete(f.away, a)
+	return away
+}
+
 // Signal sends a signal to the process at an address, if it runs.
 func (f *Fleet) Signal(a netip.Addr, s syscall.Signal) {
 	f.mutex.Lock()
--- a/internal/soak/fleet/inject.go
+++ b/internal/soak/fleet/inject.go
@@ -43,6 +43,12 @@
 		f.Signal(f.Net.Agent(e.Target), syscall.SIGCONT)
 	case plan.KillAll:
 		f.killAll(w)
+	case plan.RollBalancers:
+		for i := range f.sizes.Balancers {
+			f.stop(f.Net.Balancer(i), e.Duration)
+		}
+	case plan.RollAgent:
+		f.stop(f.Net.Agent(e.Target), e.Duration)
 	case plan.CrashEndpoint, plan.LeaveEndpoint:
 		return f.replaceEndpoint(e)
 	case plan.LinkSilent, plan.LinkReset, plan.LinkOneWay, plan.LinkSlow:
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -69,6 +69,14 @@
 // above for the same reason.
 const (
 	StoreRestored = linkKinds + iota
+	restoreKinds
+)
+
+// RollBalancers ends all balancers with SIGTERM, RollAgent one agent; they are away for the
+// event's duration. Planned work, drawn separately from the kinds above for the same reason.
+const (
+	RollBalancers = restoreKinds + iota
+	RollAgent
 
 	kindCount
 )
@@ -78,7 +86,7 @@
 	"pause_side", "kill_all", "crash_endpoint", "leave_endpoint", "store_busy",
 	"store_silent", "store_reset", "store_lost", "store_slow", "add_route",
 	"drop_route", "hangup", "store_late", "link_silent", "link_reset", "link_one_way",
-	"link_slow", "store_restored",
+	"link_slow", "store_restored", "roll_balancers", "roll_side",
 }
 
 // String returns the kind as reports print it.
@@ -115,6 +123,11 @@
 	// changes that one of them loses.
 	maxRestoreGap  = 15 * time.Second
 	maxLostChanges = 12
+	// maxRollGap bounds the time between two series of restarts, rollOverlap the time from the
+	// restart of the balancers to that of an agent, and maxRolledAgents the agents in a series.
+	maxRollGap      = 8 * time.Second
+	rollOverlap     = 4 * time.Second
+	maxRolledAgents = 3
 )
 
 // Draw returns the plan of a seed for a time span.
@@ -138,10 +151,50 @@
 	}
 	events = append(events, drawLinkFaults(seed, span)...)
 	events = append(events, drawRestores(seed, span)...)
+	events = append(events, drawRolls(seed, span, agents)...)
+	return sorted(events)
+}
+
+// DrawPlanned returns the plan of a seed with planned work only.
+func DrawPlanned(seed uint64, span time.Duration, agents int) (events []Event) {
+	return sorted(drawRolls(seed, span, agents))
+}
+
+func sorted(events []Event) []Event {
 	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.Offset, b.Offset) })
 	return events
 }
 
+// drawRolls draws series of planned restarts that overlap: all balancers at the same time,
+// and agents around that time, whose endpoints are replaced as well.
+func drawRolls(seed uint64, span time.Duration, agents int) (events []Event) {
+	r := rand.New(rand.NewPCG(seed, 3))
+	for _, e := range drawSeries(r, span-rollOverlap, maxRollGap, func() Event {
+		return Event{
+			Kind:     RollBalancers,
+			Duration: time.Duration(r.Int64N(int64(maxDuration))),
+		}
+	}) {
+		events = append(events, e)
+		for range 1 + r.IntN(maxRolledAgents) {
+			target := r.IntN(agents)
+			events = append(events,
+				Event{
+					Offset: e.Offset + time.Duration(r.Int64N(int64(time.Second))),
+					Kind:   LeaveEndpoint,
+					Target: target,
+				},
+				Event{
+					Offset:   e.Offset + time.Duration(r.Int64N(int64(rollOverlap))),
+					Kind:     RollAgent,
+					Target:   target,
+					Duration: time.Duration(r.Int64N(int64(maxDuration))),
+				})
+		}
+	}
+	return events
+}
+
 // drawLinkFaults draws the faults of the links to the store.
 func drawLinkFaults(seed uint64, span time.Duration) []Event {
 	r := rand.New(rand.NewPCG(seed, 1))
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -42,7 +42,21 @@
 				last = e.Offset
 			}
 		}
-		Expect(seen).To(HaveLen(int(plan.StoreRestored) + 1))
+		Expect(seen).To(HaveLen(int(plan.RollAgent) + 1))
 		Expect(overlaps).To(BeNumerically(">", 0))
 	})
+
+	It("draws planned work only if asked to", func() {
+		seen := map[plan.Kind]bool{}
+		for seed := range uint64(20) {
+			for _, e := range plan.DrawPlanned(seed, span, 6) {
+				seen[e.Kind] = true
+			}
+		}
+		Expect(seen).To(Equal(map[plan.Kind]bool{
+			plan.RollBalancers: true,
+			plan.RollAgent:     true,
+			plan.LeaveEndpoint: true,
+		}))
+	})
 })
