--- a/internal/soak/fleet/inject.go
+++ b/internal/soak/fleet/inject.go
@@ -44,9 +44,7 @@
 	case plan.KillAll:
 		f.killAll(w)
 	case plan.RollBalancers:
-		for i := range f.sizes.Balancers {
-			f.stop(f.Net.Balancer(i), e.Duration)
-		}
+		f.stopBalancers(e.Duration)
 	case plan.RollAgent:
 		f.stop(f.Net.Agent(e.Target), e.Duration)
 	case plan.CrashEndpoint, plan.LeaveEndpoint:
@@ -74,6 +72,13 @@
 	return f.StartEndpoint(e.Target)
 }
 
+// stopBalancers ends all balancers with SIGTERM.
+func (f *Fleet) stopBalancers(away time.Duration) {
+	for i := range f.sizes.Balancers {
+		f.stop(f.Net.Balancer(i), away)
+	}
+}
+
 func (f *Fleet) killAll(w verify.FaultWindow) {
 	f.RecordBalancerFault(w)
 	for i := range f.sizes.Agents {
