router, place: keep the packets of a lookup within a failure domain

After a loss of power the packets of flows without an owner went through all agents in the order of their hashes, so that most hops crossed between failure domains. The lists of a parallel lookup now stay in one failure domain each, and a sequential one visits one failure domain after the other behind the home.

--- a/internal/relay/place/place.go
+++ b/internal/relay/place/place.go
@@ -100,8 +100,9 @@
 // OwnerCandidates ranks all endpoints that may own a flow: its home, which stores
 // its owner, then the endpoints of the given services, in their
 // order, then all others. No service is left out, because an operator may have moved the
-// route since the flow was opened. Silent endpoints come last. Ties are broken by
-// rendezvous hashing, so that balancers agree.
+// route since the flow was opened. Silent endpoints come last. Endpoints of one failure domain
+// follow each other, since the packet travels along the list. Ties are broken by rendezvous
+// hashing, so that balancers agree.
 func OwnerCandidates(now time.Time, hash uint64, isolated bool, agents []*roster.Agent, services []spec.ServiceID) (list []frame.Host) {
 	home := Home(now, hash, agents)
 	candidates := make([]ownerCandidate, 0, len(agents))
@@ -111,6 +112,7 @@
 		}
 		c := ownerCandidate{
 			host: s.Host,
+			zone: s.Zone,
 			cost: hashCost(hash, s.Host),
 		}
 		switch index := slices.Index(services, s.Service); {
@@ -126,7 +128,7 @@
 		candidates = append(candidates, c)
 	}
 	slices.SortFunc(candidates, func(a, b ownerCandidate) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.cost, b.cost))
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.zone, b.zone), cmp.Compare(a.cost, b.cost))
 	})
 	list = make([]frame.Host, len(candidates))
 	for i := range candidates {
@@ -140,6 +142,7 @@
 type ownerCandidate struct {
 	host  frame.Host
 	class int
+	zone  uint64
 	cost  uint64
 }
 
--- a/internal/relay/router/query.go
+++ b/internal/relay/router/query.go
@@ -179,19 +179,41 @@
 }
 
 // forwardInLists forwards a packet to candidates in short lists in parallel and returns
-// the number of lists.
+// the number of lists. Each list stays in one failure domain: the packet crosses between
+// failure domains once for each list and not with each hop.
 func (g *Router) forwardInLists(now time.Time, q *query, stage uint8, hosts []frame.Host, p *Packet) (lists int) {
 	flags := uint8(frame.CandidateSilent)
 	if q.complete {
 		flags = frame.ListComplete
 	}
-	for list := range slices.Chunk(hosts, maxListLength) {
-		lists++
-		g.forwardToList(now, stage, slices.Clone(list), flags, p)
+	for _, group := range g.groupByZone(hosts) {
+		for list := range slices.Chunk(group, maxListLength) {
+			lists++
+			g.forwardToList(now, stage, slices.Clone(list), flags, p)
+		}
 	}
 	return lists
 }
 
+// groupByZone groups hosts by failure domain and keeps their order within each.
+func (g *Router) groupByZone(hosts []frame.Host) (groups [][]frame.Host) {
+	index := map[uint64]int{}
+	for _, h := range hosts {
+		zone := uint64(0)
+		if s := g.members.Agent(h); s != nil {
+			zone = s.Zone
+		}
+		at, ok := index[zone]
+		if !ok {
+			at = len(groups)
+			index[zone] = at
+			groups = append(groups, nil)
+		}
+		groups[at] = append(groups[at], h)
+	}
+	return groups
+}
+
 // queryAll sends an owner query to all candidates.
 func (g *Router) queryAll(now time.Time, q *query, list []frame.Host, complete bool) {
 	g.queryCount++
