--- a/internal/relay/agent/state.go
+++ b/internal/relay/agent/state.go
@@ -96,8 +96,10 @@
 	InUse   int    `json:"in_use"`
 	Flows   int    `json:"flows"`
 	// SawAllFlows reports whether the endpoint holds no flow that the agent does not know.
-	SawAllFlows bool     `json:"saw_all_flows"`
-	Balancers   []string `json:"balancers"`
+	SawAllFlows bool `json:"saw_all_flows"`
+	// Registered reports whether the member record lists the agent, as far as it knows.
+	Registered bool     `json:"registered"`
+	Balancers  []string `json:"balancers"`
 }
 
 // State returns the agent's current state.
@@ -114,6 +116,7 @@
 		Flows:   a.controller.Flows(),
 
 		SawAllFlows: a.controller.SawAllFlows(),
+		Registered:  l.Registered,
 	}
 	for _, h := range a.balancers.Hosts() {
 		s.Balancers = append(s.Balancers, h.String())
--- a/internal/relay/entry/serve.go
+++ b/internal/relay/entry/serve.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/relay/router"
 	"github.com/clementinewing/clementinewing/internal/world/link"
@@ -99,7 +101,11 @@
 }
 
 func (b *Balancer) logOutcome(message string, p link.Packet, why router.Reason) {
-	b.log.Important.Info().
+	event := b.log.Important.Info()
+	if why == router.OwnerUnknown {
+		b.addEvidence(event)
+	}
+	event.
 		Str("flow", p.Key.String()).
 		Str("why", why.String()).
 		Uint32("sequence", p.Sequence).
@@ -108,3 +114,15 @@
 		Int("side_processes", len(b.members.PresentAgents())).
 		Msg(message)
 }
+
+// addEvidence adds to a log line why a flow whose owner is unknown is not reset: an agent that
+// may hold it cannot be asked, or the member record has not been read since the lookup began.
+func (b *Balancer) addEvidence(e *zerolog.Event) {
+	now := time.Now()
+	if h, found := b.members.Unreachable(now); found {
+		e.Str("unreachable", h.String())
+	}
+	if at := b.members.RecordCalledAt(); !at.IsZero() {
+		e.Int64("record_age_ms", now.Sub(at).Milliseconds())
+	}
+}
--- a/internal/relay/entry/state.go
+++ b/internal/relay/entry/state.go
@@ -71,7 +71,12 @@
 			meter.Total{Name: "packets_dropped", Reason: r.String(), Value: c.dropped[r]},
 		)
 	}
+	unreachable := 0.0
+	if _, found := b.members.Unreachable(time.Now()); found {
+		unreachable = 1
+	}
 	s.Levels = []meter.Level{
+		{Name: "members_unreachable", Value: unreachable},
 		{Name: "flows", Value: float64(b.router.Flows())},
 		{Name: "side_processes", Value: float64(len(b.members.PresentAgents()))},
 		{Name: "balancers", Value: float64(len(b.members.Balancers()))},
@@ -112,6 +117,8 @@
 	InUse   uint16  `json:"in_use"`
 	Average float64 `json:"average"`
 	Silent  bool    `json:"silent"`
+	// Registered reports whether the member record lists the agent, as far as is known.
+	Registered bool `json:"registered"`
 }
 
 // State returns the balancer's current state.
@@ -138,6 +145,8 @@
 			InUse:   x.InUse,
 			Average: float64(x.Average) / 64,
 			Silent:  x.Silent(now),
+
+			Registered: b.members.Registered(h),
 		})
 	}
 	return s
--- a/internal/relay/roster/registry.go
+++ b/internal/relay/roster/registry.go
@@ -135,24 +135,25 @@
 	return list
 }
 
-// AllReachable reports whether every agent that may hold flows can be asked: each one that is
-// registered or known has reported lately, or has reported that its endpoint has ended.
-func (r *Roster) AllReachable(now time.Time) bool {
+// Unreachable returns an agent that may hold flows and cannot be asked, and whether there is
+// one: an agent that is registered or known and has not reported lately. One that has reported
+// that its endpoint has ended need not be asked.
+func (r *Roster) Unreachable(now time.Time) (host frame.Host, found bool) {
 	r.expireExpected(now)
-	if len(r.expected) > 0 {
-		return false
+	for h := range r.expected {
+		return h, true
 	}
 	for h := range r.registered {
 		if _, heard := r.agents[h]; !heard {
-			return false
+			return h, true
 		}
 	}
-	for _, s := range r.agents {
+	for _, s := range r.all {
 		if s.State != node.Gone && s.absent(now) {
-			return false
+			return s.Host, true
 		}
 	}
-	return true
+	return 0, false
 }
 
 // expireRegistered removes the registered agents that have not been heard for longer than any
--- a/internal/relay/roster/roster_test.go
+++ b/internal/relay/roster/roster_test.go
@@ -17,7 +17,7 @@
 // Hosts are small numbers; the balancer is 90. The events load, name, meet, named, written
 // and expire change the roster; takes, owns, turn, reachable, registered, lists, shown and
 // isolated query it. They stand for ApplyReport, AddBalancer, ApplyHeartbeat, ExpectAgent,
-// ApplyRecord and Expire; AcceptsFlows, MayOwn, Rank, AllReachable, Registered, AgentsToRecord,
+// ApplyRecord and Expire; AcceptsFlows, MayOwn, Rank, Unreachable, Registered, AgentsToRecord,
 // RecordCalledAt and Isolated.
 var _ = Describe("Roster", func() {
 	cases, err := script.Read("testdata/*.txt")
@@ -66,7 +66,8 @@
 	case "owns":
 		return textIf(r.Agent(host).MayOwn(l.At, r.Isolated(l.At)), "yes")
 	case "reachable":
-		return textIf(r.AllReachable(l.At), "yes")
+		_, found := r.Unreachable(l.At)
+		return textIf(!found, "yes")
 	case "registered":
 		return textIf(r.Registered(host), "yes")
 	case "lists":
--- a/internal/relay/router/lookup.go
+++ b/internal/relay/router/lookup.go
@@ -123,7 +123,8 @@
 	hash := key.Hash()
 	isolated := g.members.Isolated(now)
 	list = place.OwnerCandidates(now, hash, isolated, g.members.Agents(), route.Services(hash))
-	return list, !isolated && g.members.AllReachable(now)
+	_, unreachable := g.members.Unreachable(now)
+	return list, !isolated && !unreachable
 }
 
 // homeOf returns the agent that stores the owner of a flow, or 0.
