router: repeat a lookup that all have denied only when its result may change

Now a flow that every agent that could be asked has denied is looked up again when another agent is heard, or when the record has been read and nobody is missing, and bare ACKs start a lookup every 500 ms at most.

--- a/internal/relay/entry/record.go
+++ b/internal/relay/entry/record.go
@@ -11,10 +11,12 @@
 )
 
 const (
-	// readInterval is the least time between two reads of the member record for lookups, and
-	// readBackoff the time after a read that failed.
-	readInterval = 200 * time.Millisecond
-	readBackoff  = 500 * time.Millisecond
+	// readInterval is the least time between two reads of the member record for lookups,
+	// unreachableReadInterval while one of the agents in it cannot be asked, and readBackoff the
+	// time after a read that failed.
+	readInterval            = 200 * time.Millisecond
+	unreachableReadInterval = 2 * time.Second
+	readBackoff             = 500 * time.Millisecond
 	// storeLostDelay is how long the store has to be lost to a balancer before another one takes
 	// over the work that it does for all, and storeSilence how long it has to be lost to all of
 	// them, who poll it in turn, to count as out of reach.
@@ -71,6 +73,9 @@
 		b.observeRecord(m, position.Era)
 	}
 	b.applyRecord(start, m, position.Era)
+	if _, found := b.members.Unreachable(time.Now()); found {
+		b.nextReadAt = start.Add(unreachableReadInterval)
+	}
 }
 
 // writeRecord writes the member record and tells the agents in it that they are registered.
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -80,6 +80,8 @@
 	expected map[frame.Host]expectation
 	// registered are the agents in the member record as last seen.
 	registered map[frame.Host]registration
+	// joins counts how often an agent was heard for the first time or after an absence.
+	joins uint64
 	// recordCalledAt is when the latest store call started that has shown a complete member
 	// record.
 	recordCalledAt time.Time
@@ -114,6 +116,9 @@
 		r.all = withAgent(r.all, s)
 		delete(r.expected, l.Host)
 	}
+	if !ok || s.absent(now) {
+		r.joins++
+	}
 	changed = !ok || s.State != l.State || s.Service != l.Service || s.StartedAt != l.StartedAt || s.Proven != l.Proven
 	moved := !ok || s.Service != l.Service
 	if moved && ok {
@@ -157,6 +162,11 @@
 	}
 }
 
+// Joins counts how often an agent was heard for the first time or after an absence.
+func (r *Roster) Joins() uint64 {
+	return r.joins
+}
+
 // Agent returns the agent at a host, or nil.
 func (r *Roster) Agent(h frame.Host) *Agent {
 	return r.agents[h]
--- a/internal/relay/router/lookup.go
+++ b/internal/relay/router/lookup.go
@@ -12,7 +12,8 @@
 
 // lookupRetry is a packet whose lookup found no owner. The lookup is repeated until it
 // finds one, every agent of a member record that was read since it began has denied the flow,
-// or the retries are used up.
+// or the retries are used up. Once every agent that could be asked has denied the flow, it is
+// repeated only when another agent is heard or the flow can be proved to have no owner.
 type lookupRetry struct {
 	key     link.Key
 	packet  link.Packet
@@ -21,9 +22,15 @@
 	tries   int
 	// scheduled is set while the retry is in the list of retries.
 	scheduled bool
-	// awaitsRecord is set if every known agent has denied the flow. The lookup is then repeated
-	// once the member record has been read.
-	awaitsRecord bool
+	// denied is set if every agent that could be asked has denied the flow, joins is then what
+	// the roster's Joins was.
+	denied bool
+	joins  uint64
+}
+
+// awaitsProof reports whether the lookup is repeated by itself once that may have another result.
+func (d *lookupRetry) awaitsProof() bool {
+	return d != nil && d.scheduled && d.denied
 }
 
 // lookupState is the outcome of earlier steps of an owner lookup.
@@ -178,6 +185,7 @@
 		}
 	}
 	g.recordNoOwner(now, x, p, e.Return.Packet, outcome{
+		denied:     e.Conclusive,
 		conclusive: e.Conclusive,
 		proven:     e.LookupStage == stageProven,
 	})
@@ -189,8 +197,11 @@
 		x.lookedUpSince = now
 	}
 	if !wantsAnswer(p) {
-		if o.conclusive && o.proven && x.owners[0].host == 0 {
-			x.noOwnerUntil = now.Add(noOwnerTTL)
+		if x.owners[0].host == 0 {
+			x.noOwnerUntil = now.Add(bareLookupInterval)
+			if o.conclusive && o.proven {
+				x.noOwnerUntil = now.Add(noOwnerTTL)
+			}
 			x.expiresAt = x.noOwnerUntil
 		}
 		g.addAction(Drop{
@@ -205,7 +216,9 @@
 
 // outcome says what a lookup that found no owner has shown.
 type outcome struct {
-	// conclusive is set if every agent that this balancer knows has denied the flow.
+	// denied is set if every agent that could be asked has denied the flow, conclusive if these
+	// were all that this balancer knows.
+	denied     bool
 	conclusive bool
 	// proven is set if the list of agents included all that may hold the flow.
 	proven bool
@@ -231,7 +244,7 @@
 		}
 	}
 	wait := retryDelay
-	if o.conclusive {
+	if o.denied {
 		wait = confirmDelay
 		g.addAction(ReadRecord{})
 	}
@@ -249,7 +262,8 @@
 	x.retry = d
 	d.tries++
 	d.retryAt = now.Add(wait)
-	d.awaitsRecord = o.conclusive
+	d.denied = o.denied
+	d.joins = g.members.Joins()
 	d.scheduled = true
 	g.retries = append(g.retries, d)
 }
@@ -273,13 +287,18 @@
 
 // retryLookups repeats the lookups that are due.
 func (g *Router) retryLookups(now time.Time) {
+	if len(g.retries) == 0 {
+		return
+	}
+	_, unreachable := g.members.Unreachable(now)
+	joins := g.members.Joins()
 	var due []*lookupRetry
 	g.retries = slices.DeleteFunc(g.retries, func(d *lookupRetry) bool {
 		x, ok := g.flows[d.key]
 		if !ok || x.retry != d {
 			return true
 		}
-		if now.Before(d.retryAt) || d.awaitsRecord && !g.recordProves(x) {
+		if now.Before(d.retryAt) || d.denied && d.joins == joins && (unreachable || !g.recordProves(x)) {
 			return false
 		}
 		d.scheduled = false
@@ -291,10 +310,15 @@
 	}
 }
 
-// requestRecord requests the member record while a lookup waits for it.
-func (g *Router) requestRecord() {
+// requestRecord requests the member record while a lookup waits for it, or for an agent that
+// the record may have dropped.
+func (g *Router) requestRecord(now time.Time) {
 	for _, d := range g.retries {
-		if x, ok := g.flows[d.key]; ok && x.retry == d && d.awaitsRecord && !g.recordProves(x) {
+		x, ok := g.flows[d.key]
+		if !ok || x.retry != d || !d.denied {
+			continue
+		}
+		if _, unreachable := g.members.Unreachable(now); unreachable || !g.recordProves(x) {
 			g.addAction(ReadRecord{})
 			return
 		}
--- a/internal/relay/router/query.go
+++ b/internal/relay/router/query.go
@@ -86,8 +86,10 @@
 	undecided    []frame.Host
 	forwarded    []frame.Host
 	pendingLists int
+	// denied is set while every agent that was asked has denied the flow or may still do so.
 	// complete is set if every agent that this balancer knows is asked, proven if these are all
 	// that may own the flow.
+	denied   bool
 	complete bool
 	proven   bool
 	// deadline is when the current stage ends without further answers.
@@ -183,7 +185,7 @@
 // failure domains once for each list and not with each hop.
 func (g *Router) forwardInLists(now time.Time, q *query, stage uint8, hosts []frame.Host, p *Packet) (lists int) {
 	flags := uint8(frame.CandidateSilent)
-	if q.complete {
+	if q.denied {
 		flags = frame.ListComplete
 	}
 	for _, group := range g.groupByZone(hosts) {
@@ -220,6 +222,7 @@
 	q.id = g.queryCount
 	q.homePending = false
 	q.awaiting = list
+	q.denied = true
 	q.complete = complete
 	q.proven = g.recordProves(g.flows[q.key])
 	q.deadline = now.Add(queryTimeout)
@@ -294,7 +297,8 @@
 	x.query = nil
 	first := q.held[0]
 	g.recordNoOwner(now, x, first.Packet, first.Raw, outcome{
-		conclusive: q.complete,
+		denied:     q.denied,
+		conclusive: q.denied && q.complete,
 		proven:     q.proven,
 	})
 }
@@ -321,7 +325,7 @@
 		g.queryAfterHome(now, x)
 	case !q.homePending && e.LookupStage == q.stage() && q.pendingLists > 0:
 		q.pendingLists--
-		q.complete = q.complete && e.Conclusive
+		q.denied = q.denied && e.Conclusive
 		g.advanceQuery(now, x)
 	}
 }
@@ -363,7 +367,7 @@
 		case overdue && q.homePending:
 			g.queryAfterHome(now, x)
 		case overdue:
-			q.complete = q.complete && len(q.awaiting) == 0 && q.pendingLists == 0
+			q.denied = q.denied && len(q.awaiting) == 0 && q.pendingLists == 0
 			q.awaiting = nil
 			q.pendingLists = 0
 			g.advanceQuery(now, x)
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -42,6 +42,9 @@
 	// noOwnerTTL is how long a flow stays marked as having no owner. Its caller gives
 	// up within seconds.
 	noOwnerTTL = 5 * time.Second
+	// bareLookupInterval is the least time between two lookups for bare ACKs of a flow. They
+	// wait for no answer.
+	bareLookupInterval = 500 * time.Millisecond
 	// maxLookupRetries bounds the repeated lookups of a flow to about a second, in which
 	// every agent reports after an outage.
 	maxLookupRetries = 6
@@ -260,6 +263,13 @@
 		x.pending = nil
 	}
 	host := x.ownerOf(p.Packet)
+	if x.retry.awaitsProof() && host == 0 {
+		g.addAction(Drop{
+			Packet: p.Packet,
+			Reason: OwnerUnknown,
+		})
+		return
+	}
 	if host == 0 || g.ownerEnded(host) {
 		g.lookupOwner(now, p.Packet, p.Raw, lookupState{})
 		return
@@ -350,7 +360,7 @@
 
 func (g *Router) handleTick(now time.Time) {
 	g.retryLookups(now)
-	g.requestRecord()
+	g.requestRecord(now)
 	g.checkQueries(now)
 	kept := g.pending[:0]
 	for _, o := range g.pending {
