roster: do not register agents that have no endpoint

After a loss of power on the large deployment the agent of an endpoint that had been taken away came back, was registered and vanished with its VM two seconds later.

An agent now tells that nothing listened at its endpoint's address when it started. It is not added to the record until something has arrived from the endpoint, and stays in a record that lists it already. An agent whose last report shows that it was never registered need not be asked once it is silent: it is in a later record if it was registered since.

--- a/internal/relay/admit/controller.go
+++ b/internal/relay/admit/controller.go
@@ -341,6 +341,7 @@
 func EndpointAbsent() Option {
 	return func(h *Controller) {
 		h.endpoint.sawAllFlows = true
+		h.endpoint.absentAtStart = true
 	}
 }
 
@@ -426,6 +427,7 @@
 		Registered:        e.registered,
 		WantsRegistration: !e.registered && !e.gone,
 		EndpointEnded:     e.endedRegistered,
+		EndpointAbsent:    e.absentAtStart && !e.proven,
 
 		StartedAt: e.startedAt,
 		Slots:     e.slots,
--- a/internal/relay/admit/endpoint.go
+++ b/internal/relay/admit/endpoint.go
@@ -52,6 +52,9 @@
 	// store. unregistered is set at unregisteredFrom, which is zero until a balancer answers.
 	impossible       bool
 	unregisteredFrom time.Time
+	// absentAtStart is set when nothing listened at the endpoint's address when this process
+	// started.
+	absentAtStart bool
 	// sawAllFlows is set when the flow table has every flow that the endpoint may hold: at
 	// some time since the start of this process nothing listened at the endpoint's address,
 	// and no entry of an open flow has expired since. The endpoint's start time cannot show
--- a/internal/relay/frame/codec.go
+++ b/internal/relay/frame/codec.go
@@ -15,6 +15,7 @@
 	bit3 = 8
 	bit4 = 16
 	bit5 = 32
+	bit6 = 64
 )
 
 var byteOrder = binary.BigEndian
@@ -98,7 +99,9 @@
 }
 
 func appendLoadReport(out []byte, m *LoadReport) []byte {
-	out = append(out, magic, version, kindLoadReport, bitIf(m.Proven, bit0)|bitIf(m.WantsMembers, bit1)|bitIf(m.Refuses, bit2)|bitIf(m.Registered, bit3)|bitIf(m.WantsRegistration, bit4)|bitIf(m.EndpointEnded, bit5), byte(m.State))
+	bits := bitIf(m.Proven, bit0) | bitIf(m.WantsMembers, bit1) | bitIf(m.Refuses, bit2) | bitIf(m.Registered, bit3)
+	bits |= bitIf(m.WantsRegistration, bit4) | bitIf(m.EndpointEnded, bit5) | bitIf(m.EndpointAbsent, bit6)
+	out = append(out, magic, version, kindLoadReport, bits, byte(m.State))
 	out = byteOrder.AppendUint32(out, uint32(m.Host))
 	out = byteOrder.AppendUint64(out, m.Process)
 	out = byteOrder.AppendUint64(out, uint64(m.Service))
@@ -294,6 +297,7 @@
 
 		WantsRegistration: bits&bit4 != 0,
 		EndpointEnded:     bits&bit5 != 0,
+		EndpointAbsent:    bits&bit6 != 0,
 
 		State:           node.State(r.byte()),
 		Host:            r.host(),
--- a/internal/relay/frame/frame.go
+++ b/internal/relay/frame/frame.go
@@ -174,6 +174,9 @@
 	// ended since the agent was registered, so that it has to be registered anew.
 	WantsRegistration bool
 	EndpointEnded     bool
+	// EndpointAbsent reports that nothing listened at the endpoint's address when the agent
+	// started and that nothing has arrived from the endpoint since.
+	EndpointAbsent bool
 	// WantsMembers requests a MemberList regardless of BalancersDigest.
 	WantsMembers bool
 	// StartedAt is the start time of the endpoint in Unix milliseconds, or 0 if unknown.
--- a/internal/relay/frame/frame_test.go
+++ b/internal/relay/frame/frame_test.go
@@ -64,6 +64,7 @@
 
 			WantsRegistration: true,
 			EndpointEnded:     true,
+			EndpointAbsent:    true,
 
 			WantsMembers:    true,
 			StartedAt:       5,
--- a/internal/relay/roster/registry.go
+++ b/internal/relay/roster/registry.go
@@ -78,6 +78,18 @@
 	}
 }
 
+// mayJoin reports whether the agent has an endpoint as far as it knows.
+func (s *Agent) mayJoin() bool {
+	return s.State != node.Gone && !s.EndpointAbsent
+}
+
+// holdsNoFlows reports whether the agent's last report shows that its endpoint holds no flow: it
+// has ended, or the agent was not registered. An agent that was registered later is in a later
+// record.
+func (s *Agent) holdsNoFlows() bool {
+	return s.State == node.Gone || s.State == node.Joining && s.WantsRegistration && !s.Registered
+}
+
 // trackRegistration updates what is known of an agent's registration for a report that is about
 // to replace the last one.
 func (r *Roster) trackRegistration(now time.Time, s *Agent, l *frame.LoadReport) {
@@ -98,7 +110,7 @@
 // lists such an agent already, so that it has to be written again.
 func (r *Roster) awaitingRegistration() (waits, listed bool) {
 	for _, s := range r.all {
-		if s.WantsRegistration && s.State != node.Gone && !r.Registered(s.Host) {
+		if s.WantsRegistration && s.mayJoin() && !r.Registered(s.Host) {
 			waits = true
 			if _, ok := r.registered[s.Host]; ok {
 				return true, true
@@ -119,7 +131,7 @@
 }
 
 // AgentsToRecord returns the agents that the member record has to list, sorted: those that it
-// lists already and all others that have reported, except for those whose endpoints have ended.
+// lists already and all others that have reported, except for those without an endpoint.
 func (r *Roster) AgentsToRecord() (list []frame.Host) {
 	for h := range r.registered {
 		if _, heard := r.agents[h]; !heard {
@@ -127,7 +139,8 @@
 		}
 	}
 	for h, s := range r.agents {
-		if s.State != node.Gone {
+		_, listed := r.registered[h]
+		if listed && s.State != node.Gone || !listed && s.mayJoin() {
 			list = append(list, h)
 		}
 	}
@@ -136,8 +149,8 @@
 }
 
 // Unreachable returns an agent that may hold flows and cannot be asked, and whether there is
-// one: an agent that is registered or known and has not reported lately. One that has reported
-// that its endpoint has ended need not be asked.
+// one: an agent that is registered or known and has not reported lately. One whose last report
+// shows that its endpoint holds no flow need not be asked, unless the record lists it.
 func (r *Roster) Unreachable(now time.Time) (host frame.Host, found bool) {
 	r.expireExpected(now)
 	for h := range r.expected {
@@ -149,7 +162,8 @@
 		}
 	}
 	for _, s := range r.all {
-		if s.State != node.Gone && s.absent(now) {
+		_, listed := r.registered[s.Host]
+		if s.absent(now) && (!s.holdsNoFlows() || listed && s.State != node.Gone) {
 			return s.Host, true
 		}
 	}
--- a/internal/relay/roster/roster_test.go
+++ b/internal/relay/roster/roster_test.go
@@ -123,7 +123,9 @@
 		Proven:     l.Has("proven"),
 		Registered: l.Has("registered"),
 
-		EndpointEnded: l.Has("ended"),
+		EndpointEnded:     l.Has("ended"),
+		EndpointAbsent:    l.Has("absent"),
+		WantsRegistration: l.Has("wants"),
 		IntervalMS:    uint16(l.Int("every", 250)),
 	}
 	switch {
