--- a/internal/relay/roster/roster_test.go
+++ b/internal/relay/roster/roster_test.go
@@ -126,7 +126,7 @@
 		EndpointEnded:     l.Has("ended"),
 		EndpointAbsent:    l.Has("absent"),
 		WantsRegistration: l.Has("wants"),
-		IntervalMS:    uint16(l.Int("every", 250)),
+		IntervalMS:        uint16(l.Int("every", 250)),
 	}
 	switch {
 	case l.Has("gone"):
