--- a/internal/relay/fault/deployment_test.go
+++ b/internal/relay/fault/deployment_test.go
@@ -29,9 +29,11 @@
 	hopDelay           = time.Millisecond
 	loadReportInterval = 250 * time.Millisecond
 	// reportInterval is the interval of an endpoint's reports to its agent.
-	reportInterval = 1200 * time.Millisecond
-	restartDelay   = 300 * time.Millisecond
-	tickInterval   = 20 * time.Millisecond
+	reportInterval    = 1200 * time.Millisecond
+	heartbeatInterval = 400 * time.Millisecond
+
+	restartDelay = 300 * time.Millisecond
+	tickInterval = 20 * time.Millisecond
 )
 
 // deployment connects the state machines of balancers and agents on a fake clock.
@@ -70,6 +72,7 @@
 	recordWanted bool
 	storeLost    bool
 	leaving      bool
+	heartbeatAt  time.Time
 }
 
 // agent is one agent and its endpoint; the agent process is down while controller is
@@ -238,7 +241,10 @@
 func (b *balancer) tick() {
 	if b.router != nil {
 		b.step(router.Tick{})
-		b.receiveHeartbeats()
+		if now := b.deployment.clock.Now(); !now.Before(b.heartbeatAt) {
+			b.heartbeatAt = now.Add(heartbeatInterval)
+			b.receiveHeartbeats()
+		}
 		b.startRecordCalls()
 	}
 	b.deployment.clock.After(tickInterval, b.tick)
