entry: ignore older answers about the member record, and replace one that cannot be read

Found while reading the change. A read that was answered after a later one put back the list of an older revision; the balancer that writes the record could then have dropped an agent that it had never heard. And a record that another program had overwritten with something else was read before each write for ever and never replaced.

The order of answers has no spec of its own.

--- a/internal/relay/entry/entry.go
+++ b/internal/relay/entry/entry.go
@@ -69,6 +69,9 @@
 	recordWanted  bool
 	readingRecord bool
 	nextReadAt    time.Time
+	// recordEra and recordRevision are those of the member record applied last.
+	recordEra      uint64
+	recordRevision uint64
 	// registered reports that the balancer directory contains this balancer.
 	registered          bool
 	storeLost           bool
--- a/internal/relay/entry/record.go
+++ b/internal/relay/entry/record.go
@@ -53,6 +53,12 @@
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	m, position, err := b.store.Members(call)
+	invalid := errors.Is(err, port.ErrInvalid)
+	if invalid {
+		// Another program has written it. It shows nothing and is replaced.
+		b.log.Important.Warn().Err(err).Msg("item in the store skipped")
+		err = nil
+	}
 	b.recordStoreCall(start, err)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -72,6 +78,9 @@
 	if beforeWrite {
 		b.observeRecord(m, position.Era)
 	}
+	if invalid {
+		return
+	}
 	b.applyRecord(start, m, position.Era)
 	if _, found := b.members.Unreachable(time.Now()); found {
 		b.nextReadAt = start.Add(unreachableReadInterval)
@@ -108,6 +117,7 @@
 			Bool("complete", m.Complete).
 			Uint64("store_revision", revision).
 			Msg("member record written to the store")
+		m.Revision = revision
 		b.applyRecord(start, m, m.Era)
 	}
 }
@@ -120,6 +130,12 @@
 
 // applyRecord applies the member record that a store call that began at start has shown.
 func (b *Balancer) applyRecord(start time.Time, m port.Members, era uint64) {
+	if era == b.recordEra && m.Revision < b.recordRevision {
+		// A later call has shown a newer one already.
+		return
+	}
+	b.recordEra = era
+	b.recordRevision = m.Revision
 	now := time.Now()
 	missing := b.members.ApplyRecord(now, roster.RecordContent{
 		Agents:   m.Agents,
--- a/internal/relay/entry/store.go
+++ b/internal/relay/entry/store.go
@@ -222,6 +222,7 @@
 	restored := b.position.Observe(p)
 	if restored {
 		b.record.Restore()
+		b.recordRevision = 0
 		b.nextDirectorySyncAt = time.Now()
 	}
 	b.mutex.Unlock()
--- a/internal/relay/port/port.go
+++ b/internal/relay/port/port.go
@@ -95,7 +95,8 @@
 	// that adds them.
 	AddBalancers(ctx context.Context, hosts []frame.Host, name string) error
 	// Members reads the member record, and the position of the store if it tells it. Without a
-	// record the revision is 0.
+	// record the revision is 0; of one that cannot be decoded only the revision is returned, with
+	// ErrInvalid.
 	Members(ctx context.Context) (Members, plan.Position, error)
 	// WriteMembers replaces the member record of revision m.Revision. It returns the revision
 	// that the store holds, also with ErrConflict.
