admit: wait for registration while any balancer reaches the store

The store does not answer one write of the balancer that registers agents, which then tells the agent that the store is lost. An agent that had heard the other balancers before it took this for the state of all and served unregistered after 100 ms. A balancer that started before the record listed the agent then reset its flows as denied by all. A balancer that reaches the store now counts for two seconds, and one that does not know yet tells nothing.

--- a/internal/relay/admit/endpoint.go
+++ b/internal/relay/admit/endpoint.go
@@ -48,9 +48,11 @@
 	// while this agent was registered.
 	needsRegistration bool
 	endedRegistered   bool
-	// impossible is set while the last balancer that told of the registration has lost the
-	// store. unregistered is set at unregisteredFrom, which is zero until a balancer answers.
+	// impossible is set while no balancer is known to reach the store, pendingUntil is until when
+	// one that has told so counts. unregistered is set at unregisteredFrom, which is zero until a
+	// balancer answers.
 	impossible       bool
+	pendingUntil     time.Time
 	unregisteredFrom time.Time
 	// absentAtStart is set when nothing listened at the endpoint's address when this process
 	// started.
--- a/internal/relay/admit/registration.go
+++ b/internal/relay/admit/registration.go
@@ -19,6 +19,9 @@
 	// answered. Balancers tell the status of the registration with each report, except for
 	// those of earlier releases.
 	unsupportedTimeout = 3 * time.Second
+	// pendingTimeout is how long an agent relies on a balancer that has told that it reaches the
+	// store, against others that do not: a few reports.
+	pendingTimeout = 2 * time.Second
 )
 
 // NeedsRegistration declares that the endpoint gets no flow before this agent is registered.
@@ -60,7 +63,7 @@
 		e.registered = true
 		h.emitStateChange(before, Registered)
 	case frame.RegistrationImpossible:
-		if !e.impossible {
+		if !e.impossible && !now.Before(e.pendingUntil) {
 			e.impossible = true
 			e.unregisteredFrom = now.Add(registrationTimeout)
 		}
@@ -68,6 +71,7 @@
 		// This balancer reaches the store, as far as it knows, and one of those that do sees to
 		// the registration.
 		e.impossible = false
+		e.pendingUntil = now.Add(pendingTimeout)
 		e.unregisteredFrom = now.Add(unsupportedTimeout)
 	}
 }
--- a/internal/relay/entry/packets.go
+++ b/internal/relay/entry/packets.go
@@ -162,7 +162,7 @@
 	answer := frame.MemberList{
 		Balancers: known,
 	}
-	registration := b.registration(l.Host)
+	registered := b.members.Registered(l.Host)
 	if s := b.members.Agent(l.Host); s != nil && s.Service == l.Service {
 		answer.State = s.State
 		answer.StartedAt = s.StartedAt
@@ -180,9 +180,7 @@
 		b.send(l.Host, answer)
 	}
 	if l.WantsRegistration {
-		b.send(l.Host, frame.Registration{
-			Status: registration,
-		})
+		b.sendRegistration(l.Host, registered)
 	}
 }
 
--- a/internal/relay/entry/record.go
+++ b/internal/relay/entry/record.go
@@ -152,23 +152,28 @@
 // sendRegistrations tells the agents that do not know whether they are registered.
 func (b *Balancer) sendRegistrations() {
 	for _, h := range b.members.UnregisteredAgents() {
-		b.send(h, frame.Registration{
-			Status: b.registration(h),
-		})
+		b.sendRegistration(h, b.members.Registered(h))
 	}
 }
 
-// registration returns what this balancer knows of an agent's place in the member record.
-func (b *Balancer) registration(h frame.Host) frame.RegistrationStatus {
-	unanswered := !b.position.Known() && time.Now().After(b.startedAt.Add(firstAnswerTimeout))
+// sendRegistration tells an agent what this balancer knows of its place in the member record. A
+// balancer that does not know yet whether it reaches the store tells nothing.
+func (b *Balancer) sendRegistration(h frame.Host, registered bool) {
+	known := b.position.Known()
+	status := frame.RegistrationPending
 	switch {
-	case b.members.Registered(h):
-		return frame.RegistrationDone
-	case b.storeLost || unanswered || b.storeAge() > storeSilence:
-		return frame.RegistrationImpossible
-	default:
-		return frame.RegistrationPending
+	case registered:
+		status = frame.RegistrationDone
+	case b.storeLost || b.storeAge() > storeSilence:
+		status = frame.RegistrationImpossible
+	case !known && time.Now().After(b.startedAt.Add(firstAnswerTimeout)):
+		status = frame.RegistrationImpossible
+	case !known:
+		return
 	}
+	b.send(h, frame.Registration{
+		Status: status,
+	})
 }
 
 // fitness returns how well this balancer can do work that one balancer does for all.
--- a/internal/relay/fault/deployment_test.go
+++ b/internal/relay/fault/deployment_test.go
@@ -70,9 +70,11 @@
 	record     *roster.Record
 	// recordWanted is set while a lookup waits for the member record to be read.
 	recordWanted bool
-	storeLost    bool
-	leaving      bool
-	heartbeatAt  time.Time
+	// storeLost is set while the store does not answer, storeSeen once it has answered.
+	storeLost   bool
+	storeSeen   bool
+	leaving     bool
+	heartbeatAt time.Time
 }
 
 // agent is one agent and its endpoint; the agent process is down while controller is
@@ -216,6 +218,7 @@
 	d := b.deployment
 	b.leaving = false
 	b.storeLost = false
+	b.storeSeen = false
 	b.recordWanted = false
 	b.members = roster.New(b.host)
 	b.record = roster.NewRecord(d.clock.Now())
@@ -360,10 +363,10 @@
 	l.Sequence = s.sequence
 	l.Zone = 1
 	l.IntervalMS = uint16(loadReportInterval.Milliseconds())
-	status := b.registration(s.host)
+	registered := b.members.Registered(s.host)
 	b.members.ApplyReport(s.deployment.clock.Now(), l)
 	if l.WantsRegistration {
-		b.sendRegistration(s.host, status)
+		b.sendRegistration(s.host, registered)
 	}
 }
 
--- a/internal/relay/fault/store_test.go
+++ b/internal/relay/fault/store_test.go
@@ -55,6 +55,7 @@
 			if b.router != nil && b.members == members {
 				lost := b.storeLost
 				b.storeLost = d.store.lost
+				b.storeSeen = b.storeSeen || !d.store.lost
 				if b.storeLost && !lost {
 					b.sendRegistrations()
 				}
@@ -133,22 +134,22 @@
 // sendRegistrations tells the agents that do not know whether they are registered.
 func (b *balancer) sendRegistrations() {
 	for _, h := range b.members.UnregisteredAgents() {
-		b.sendRegistration(h, b.registration(h))
+		b.sendRegistration(h, b.members.Registered(h))
 	}
 }
 
-func (b *balancer) registration(h frame.Host) frame.RegistrationStatus {
+// sendRegistration tells an agent whether it is registered, unless the balancer does not know
+// yet whether it reaches the store.
+func (b *balancer) sendRegistration(h frame.Host, registered bool) {
+	status := frame.RegistrationPending
 	switch {
-	case b.members.Registered(h):
-		return frame.RegistrationDone
+	case registered:
+		status = frame.RegistrationDone
 	case b.storeLost:
-		return frame.RegistrationImpossible
-	default:
-		return frame.RegistrationPending
+		status = frame.RegistrationImpossible
+	case !b.storeSeen:
+		return
 	}
-}
-
-func (b *balancer) sendRegistration(h frame.Host, status frame.RegistrationStatus) {
 	b.deployment.sendDatagram(func() {
 		b.deployment.agents[h-1].step(admit.RegistrationKnown{
 			Status: status,
