admit, roster: give an endpoint no flow before it has shown that it runs

The endpoint now gets no SYN either until something has arrived from it, so the agent's last word stays true, and it need not be asked once it is silent.

--- a/internal/relay/admit/controller.go
+++ b/internal/relay/admit/controller.go
@@ -427,7 +427,7 @@
 		Registered:        e.registered,
 		WantsRegistration: !e.registered && !e.gone,
 		EndpointEnded:     e.endedRegistered,
-		EndpointAbsent:    e.absentAtStart && !e.proven,
+		EndpointAbsent:    e.absent(),
 
 		StartedAt: e.startedAt,
 		Slots:     e.slots,
--- a/internal/relay/admit/endpoint.go
+++ b/internal/relay/admit/endpoint.go
@@ -72,13 +72,19 @@
 		return node.Gone
 	case e.draining || e.leaving:
 		return node.Draining
-	case e.silent || e.refusedOpening || e.awaitsReport && !e.reported || !e.registered && !e.unregistered:
+	case e.silent || e.refusedOpening || e.awaitsReport && !e.reported || e.absent() || !e.registered && !e.unregistered:
 		return node.Joining
 	default:
 		return node.Serving
 	}
 }
 
+// absent reports whether nothing has arrived from the endpoint since nothing listened at its
+// address. It then holds no flow, and gets none.
+func (e *endpoint) absent() bool {
+	return e.absentAtStart && !e.proven
+}
+
 func (h *Controller) emitStateChange(before node.State, reason Reason) {
 	if after := h.endpoint.state(); after != before {
 		h.emit(StateChanged{
--- a/internal/relay/roster/registry.go
+++ b/internal/relay/roster/registry.go
@@ -83,11 +83,16 @@
 	return s.State != node.Gone && !s.EndpointAbsent
 }
 
-// holdsNoFlows reports whether the agent's last report shows that its endpoint holds no flow: it
-// has ended, or the agent was not registered. An agent that was registered later is in a later
-// record.
-func (s *Agent) holdsNoFlows() bool {
-	return s.State == node.Gone || s.State == node.Joining && s.WantsRegistration && !s.Registered
+// hasNoEndpoint reports whether the agent's last report says that its endpoint holds no flow: it
+// has ended, or nothing has arrived from it since nothing listened at its address.
+func (s *Agent) hasNoEndpoint() bool {
+	return s.State == node.Gone || s.EndpointAbsent
+}
+
+// neverRegistered reports whether the agent had not been registered at its last report. If it
+// was since, a later record lists it.
+func (s *Agent) neverRegistered() bool {
+	return s.State == node.Joining && s.WantsRegistration && !s.Registered
 }
 
 // trackRegistration updates what is known of an agent's registration for a report that is about
@@ -163,7 +168,7 @@
 	}
 	for _, s := range r.all {
 		_, listed := r.registered[s.Host]
-		if s.absent(now) && (!s.holdsNoFlows() || listed && s.State != node.Gone) {
+		if s.absent(now) && !s.hasNoEndpoint() && (listed || !s.neverRegistered()) {
 			return s.Host, true
 		}
 	}
