--- a/internal/relay/place/place.go
+++ b/internal/relay/place/place.go
@@ -158,7 +158,7 @@
 func Home(now time.Time, hash uint64, agents []*roster.Agent) (home frame.Host) {
 	best := uint64(math.MaxUint64)
 	for _, s := range agents {
-		if s.State == node.Gone || s.Silent(now) {
+		if s.HasNoEndpoint() || s.Silent(now) {
 			continue
 		}
 		if cost := hashCost(hash, s.Host); cost < best {
--- a/internal/relay/roster/agent.go
+++ b/internal/relay/roster/agent.go
@@ -45,5 +45,5 @@
 // MayOwn reports whether the endpoint may hold flows. While the balancer is isolated, no
 // endpoint is excluded for the silence of its agent.
 func (s *Agent) MayOwn(now time.Time, isolated bool) bool {
-	return s.State != node.Gone && (isolated || !s.absent(now))
+	return !s.HasNoEndpoint() && (isolated || !s.absent(now))
 }
--- a/internal/relay/roster/registry.go
+++ b/internal/relay/roster/registry.go
@@ -80,12 +80,12 @@
 
 // mayJoin reports whether the agent has an endpoint as far as it knows.
 func (s *Agent) mayJoin() bool {
-	return s.State != node.Gone && !s.EndpointAbsent
+	return !s.HasNoEndpoint()
 }
 
-// hasNoEndpoint reports whether the agent's last report says that its endpoint holds no flow: it
+// HasNoEndpoint reports whether the agent's last report says that its endpoint holds no flow: it
 // has ended, or nothing has arrived from it since nothing listened at its address.
-func (s *Agent) hasNoEndpoint() bool {
+func (s *Agent) HasNoEndpoint() bool {
 	return s.State == node.Gone || s.EndpointAbsent
 }
 
@@ -168,7 +168,7 @@
 	}
 	for _, s := range r.all {
 		_, listed := r.registered[s.Host]
-		if s.absent(now) && !s.hasNoEndpoint() && (listed || !s.neverRegistered()) {
+		if s.absent(now) && !s.HasNoEndpoint() && (listed || !s.neverRegistered()) {
 			return s.Host, true
 		}
 	}
--- a/internal/relay/router/script_test.go
+++ b/internal/relay/router/script_test.go
@@ -263,6 +263,7 @@
 		Average:   uint16(l.Int("used", 0) * 64),
 
 		WantsRegistration: l.Has("registers"),
+		EndpointAbsent:    l.Has("absent"),
 	}
 }
 
