conf, frame, plan: switches and fields for scarce capacity

Adds the feature list of the settings with the platform's words for it, the limits of cold endpoints, the services of the plan, and fields at the end of load reports and owner announcements.

--- a/cmd/cwnode/agent.go
+++ b/cmd/cwnode/agent.go
@@ -26,7 +26,7 @@
 
 func runAgent(ctx context.Context, c *cli.Command) error {
 	path := c.String(settingsName)
-	s, err := relay.ReadAgent(path)
+	s, err := relay.ReadAgent(path, relay.WithFeatureNames(platform.FeatureNames()))
 	if err != nil {
 		return err
 	}
@@ -48,7 +48,7 @@
 	stop, cancel := stopSignal(ctx)
 	defer cancel()
 	go onHangup(stop, l, func() error {
-		_, err := relay.ReadAgent(path)
+		_, err := relay.ReadAgent(path, relay.WithFeatureNames(platform.FeatureNames()))
 		return err
 	})
 	go serveMetrics(stop, m, s.Metrics, l)
--- a/cmd/cwnode/balancer.go
+++ b/cmd/cwnode/balancer.go
@@ -26,7 +26,7 @@
 
 func runBalancer(ctx context.Context, c *cli.Command) error {
 	path := c.String(settingsName)
-	s, err := relay.ReadBalancer(path)
+	s, err := relay.ReadBalancer(path, relay.WithFeatureNames(platform.FeatureNames()))
 	if err != nil {
 		return err
 	}
@@ -48,7 +48,7 @@
 	stop, cancel := stopSignal(ctx)
 	defer cancel()
 	go onHangup(stop, l, func() error {
-		_, err := relay.ReadBalancer(path)
+		_, err := relay.ReadBalancer(path, relay.WithFeatureNames(platform.FeatureNames()))
 		return err
 	})
 	go serveMetrics(stop, m, s.Metrics, l)
--- a/cmd/cwnode/check.go
+++ b/cmd/cwnode/check.go
@@ -7,6 +7,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/clementinewing/clementinewing/internal/conf/relay"
+	"github.com/clementinewing/clementinewing/platform"
 )
 
 const roleName = "role"
@@ -36,7 +37,7 @@
 	default:
 		return fmt.Errorf("unknown role %q; allowed: balancer, agent", c.String(roleName))
 	}
-	s, err := read(c.String(settingsName))
+	s, err := read(c.String(settingsName), relay.WithFeatureNames(platform.FeatureNames()))
 	if err != nil {
 		return err
 	}
--- a/internal/conf/relay/relay.go
+++ b/internal/conf/relay/relay.go
@@ -44,6 +44,11 @@
 	Store          netip.AddrPort
 	// ShutdownTimeout is how long a process may continue after SIGTERM.
 	ShutdownTimeout time.Duration
+	Features        Features
+	// A cold endpoint gets at most the rate that it can serve times ColdOverage plus ColdSlack new
+	// flows in any second.
+	ColdOverage float64
+	ColdSlack   float64
 }
 
 const (
@@ -60,28 +65,46 @@
 )
 
 // ReadBalancer reads the settings of a balancer.
-func ReadBalancer(path string) (Settings, error) {
-	return read(path, roleBalancer)
+func ReadBalancer(path string, options ...Option) (Settings, error) {
+	return read(path, roleBalancer, options)
 }
 
 // ReadAgent reads the settings of an agent.
-func ReadAgent(path string) (Settings, error) {
-	return read(path, roleAgent)
+func ReadAgent(path string, options ...Option) (Settings, error) {
+	return read(path, roleAgent, options)
 }
 
-func read(path, role string) (s Settings, err error) {
+// Option sets one property of the parser.
+type Option func(*parser)
+
+type parser struct {
+	featureNames FeatureNames
+}
+
+// WithFeatureNames accepts a platform's words for features.
+func WithFeatureNames(names FeatureNames) Option {
+	return func(p *parser) {
+		p.featureNames = names
+	}
+}
+
+func read(path, role string, options []Option) (s Settings, err error) {
 	defer func() { err = eris.Wrap(err, "settings") }()
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return s, err
 	}
-	return Parse(path, string(text), role)
+	return Parse(path, string(text), role, options...)
 }
 
 // Parse parses a settings file; path is used only in faults. The error lists every
 // fault, and nothing of a faulty file is used.
-func Parse(path, text, role string) (s Settings, err error) {
-	d, err := lines.Load(path, text, lines.AllowHeadings("process", "listen", "endpoint", "fleet", "store"))
+func Parse(path, text, role string, options ...Option) (s Settings, err error) {
+	var x parser
+	for _, o := range options {
+		o(&x)
+	}
+	d, err := lines.Load(path, text, lines.AllowHeadings("process", "listen", "endpoint", "fleet", "store", "features", "cold"))
 	if err != nil {
 		return s, err
 	}
@@ -89,6 +112,8 @@
 	readListen(d.Section("listen"), &s, role)
 	s.Seeds = d.OptionalSection("fleet").Addresses("seeds")
 	s.Store = d.Section("store").Address("address")
+	readFeatures(d.OptionalSection("features"), &s, x.featureNames)
+	readCold(d.OptionalSection("cold"), &s)
 	if role == roleAgent {
 		e := d.Section("endpoint")
 		s.Service, _ = e.Required("service", "the name of a service")
--- a/internal/relay/frame/codec.go
+++ b/internal/relay/frame/codec.go
@@ -16,6 +16,7 @@
 	bit4 = 16
 	bit5 = 32
 	bit6 = 64
+	bit7 = 128
 )
 
 var byteOrder = binary.BigEndian
@@ -84,10 +85,14 @@
 }
 
 func appendOwner(out []byte, m Owner) []byte {
-	out = append(out, magic, version, kindOwner, bitIf(m.Known, bit0))
+	out = append(out, magic, version, kindOwner, bitIf(m.Known, bit0)|bitIf(m.LoadKnown, bit1))
 	out = appendKey(out, m.Key)
 	out = byteOrder.AppendUint32(out, uint32(m.Host))
-	return byteOrder.AppendUint32(out, m.InitialSequence)
+	out = byteOrder.AppendUint32(out, m.InitialSequence)
+	if m.LoadKnown {
+		out = byteOrder.AppendUint16(out, m.Load)
+	}
+	return out
 }
 
 func appendKey(out []byte, k link.Key) []byte {
@@ -100,7 +105,8 @@
 
 func appendLoadReport(out []byte, m *LoadReport) []byte {
 	bits := bitIf(m.Proven, bit0) | bitIf(m.WantsMembers, bit1) | bitIf(m.Refuses, bit2) | bitIf(m.Registered, bit3)
-	bits |= bitIf(m.WantsRegistration, bit4) | bitIf(m.EndpointEnded, bit5) | bitIf(m.EndpointAbsent, bit6)
+	// bit7 tells that the fields after IntervalMS follow, which earlier releases do not send.
+	bits |= bitIf(m.WantsRegistration, bit4) | bitIf(m.EndpointEnded, bit5) | bitIf(m.EndpointAbsent, bit6) | bit7
 	out = append(out, magic, version, kindLoadReport, bits, byte(m.State))
 	out = byteOrder.AppendUint32(out, uint32(m.Host))
 	out = byteOrder.AppendUint64(out, m.Process)
@@ -112,7 +118,9 @@
 	for _, n := range [...]uint16{m.Slots, m.InUse, m.Average, m.Flows, m.ColdMS, m.IntervalMS} {
 		out = byteOrder.AppendUint16(out, n)
 	}
-	return out
+	out = byteOrder.AppendUint64(out, m.Evacuations)
+	out = byteOrder.AppendUint16(out, m.ServiceTimeMS)
+	return byteOrder.AppendUint16(out, m.Refusals)
 }
 
 func appendHeartbeat(out []byte, m Heartbeat) []byte {
@@ -246,13 +254,18 @@
 }
 
 func (r *reader) owner() Owner {
-	known := r.byte()&bit0 != 0
-	return Owner{
-		Known:           known,
+	bits := r.byte()
+	m := Owner{
+		Known:           bits&bit0 != 0,
+		LoadKnown:       bits&bit1 != 0,
 		Key:             r.key(),
 		Host:            r.host(),
 		InitialSequence: r.uint32(),
 	}
+	if m.LoadKnown {
+		m.Load = r.uint16()
+	}
+	return m
 }
 
 func (r *reader) key() link.Key {
@@ -289,7 +302,7 @@
 
 func (r *reader) loadReport() LoadReport {
 	bits := r.byte()
-	return LoadReport{
+	m := LoadReport{
 		Proven:       bits&bit0 != 0,
 		WantsMembers: bits&bit1 != 0,
 		Refuses:      bits&bit2 != 0,
@@ -314,6 +327,12 @@
 		ColdMS:          r.uint16(),
 		IntervalMS:      r.uint16(),
 	}
+	if bits&bit7 != 0 {
+		m.Evacuations = r.uint64()
+		m.ServiceTimeMS = r.uint16()
+		m.Refusals = r.uint16()
+	}
+	return m
 }
 
 func (r *reader) heartbeat() Heartbeat {
--- a/internal/relay/frame/frame.go
+++ b/internal/relay/frame/frame.go
@@ -151,6 +151,10 @@
 	// Known.
 	InitialSequence uint32
 	Known           bool
+	// Load is the load of the endpoint when it took the flow, in 64ths of its slots. It is
+	// valid only if LoadKnown.
+	Load      uint16
+	LoadKnown bool
 }
 
 // LoadReport is sent periodically by an agent and describes itself and its endpoint.
@@ -197,6 +201,14 @@
 	// BalancersDigest is the digest of the sender's list of balancers if the receiver should
 	// check it, otherwise NoDigest.
 	BalancersDigest uint64
+	// Evacuations is the version of the evacuated failure domains that the agent knows, or 0.
+	Evacuations uint64
+	// ServiceTimeMS is the endpoint's average time from a request to the start of its answer in
+	// milliseconds, or 0 if unknown.
+	ServiceTimeMS uint16
+	// Refusals counts the SYNs that the endpoint has refused or left unanswered since it last
+	// accepted one.
+	Refusals uint16
 }
 
 // NoDigest is the value of LoadReport.BalancersDigest if the receiver should not check it.
--- a/internal/relay/frame/frame_test.go
+++ b/internal/relay/frame/frame_test.go
@@ -51,6 +51,8 @@
 			Host:            5,
 			InitialSequence: 6,
 			Known:           true,
+			Load:            7,
+			LoadKnown:       true,
 		},
 		frame.LoadReport{
 			Host:       1,
@@ -76,6 +78,9 @@
 			ColdMS:          11,
 			IntervalMS:      13,
 			BalancersDigest: 12,
+			Evacuations:     14,
+			ServiceTimeMS:   15,
+			Refusals:        16,
 		},
 		frame.Heartbeat{
 			Host:         1,
@@ -143,6 +148,17 @@
 		}))
 	})
 
+	It("decodes load reports of earlier releases, which lack the last fields", func() {
+		report := frame.LoadReport{
+			Host:       1,
+			IntervalMS: 2,
+		}
+		encoded := frame.Append(nil, report)
+		earlier := encoded[:len(encoded)-12]
+		earlier[3] &^= 0x80
+		Expect(frame.Decode(earlier)).To(Equal(report))
+	})
+
 	It("rejects truncated datagrams, other versions and a position outside the candidate list", func() {
 		for _, m := range messages() {
 			whole := frame.Append(nil, m)
--- a/internal/relay/plan/plan.go
+++ b/internal/relay/plan/plan.go
@@ -43,9 +43,20 @@
 	LatencyTarget time.Duration
 	// Priority is the priority of the requests; 0 is the highest.
 	Priority uint8
+	// Timeout is how long callers wait for the answer to a request; 0 if unknown.
+	Timeout  time.Duration
 	Backends []Backend
 }
 
+// Service is the configuration of a service.
+type Service struct {
+	Name string
+	// ColdStart is how long an endpoint stays cold after its start.
+	ColdStart time.Duration
+	// ColdRate is how many requests per second a cold endpoint can serve; 0 means no limit.
+	ColdRate float64
+}
+
 // ChooseService returns the service of a new flow by weight. The same flow hash gives the
 // same service as long as the weights do not change.
 func (r *Route) ChooseService(hash uint64) spec.ServiceID {
@@ -88,6 +99,7 @@
 	// the store gives revisions out again after it has come back from an older copy.
 	Revision uint64
 	Routes   map[Target]*Route
+	Services map[spec.ServiceID]Service
 	// IdleTimeout is how long a flow may be idle before it may be discarded.
 	IdleTimeout time.Duration
 	// Raw is the plan as stored, for peers that cannot read the store.
