place, router: pass a placement request with features and excluded endpoints

The placement of a flow takes what the deployment switches on and which endpoints have refused the flow already.

--- a/internal/relay/entry/entry.go
+++ b/internal/relay/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/clementinewing/clementinewing/internal/conf/relay"
 	"github.com/clementinewing/clementinewing/internal/edge/logs"
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/relay/place"
 	"github.com/clementinewing/clementinewing/internal/relay/plan"
 	"github.com/clementinewing/clementinewing/internal/relay/port"
 	"github.com/clementinewing/clementinewing/internal/relay/roster"
@@ -124,7 +125,10 @@
 	}
 	b.members = roster.New(b.self)
 	b.record = roster.NewRecord(now)
-	b.router = router.New(b.self, xxhash.Sum64String(s.Zone), now, b.members, &b.activePlan)
+	b.router = router.New(b.self, xxhash.Sum64String(s.Zone), now, b.members, &b.activePlan, router.WithFeatures(place.Features{
+		Even:     s.Features.EvenPlacement,
+		Outliers: s.Features.OutlierDetection,
+	}))
 	if b.callers, err = listen(s.Callers); err != nil {
 		return nil, err
 	}
--- a/internal/relay/place/place.go
+++ b/internal/relay/place/place.go
@@ -54,15 +54,36 @@
 	cost  float64
 }
 
+// Request asks for the candidates of one new flow.
+type Request struct {
+	Now time.Time
+	// Hash is that of the flow, Zone the failure domain of the balancer.
+	Hash uint64
+	Zone uint64
+	// Agents are those of the flow's service.
+	Agents []*roster.Agent
+	// Exclude holds endpoints that have already refused the flow.
+	Exclude []frame.Host
+	Features
+}
+
+// Features holds the decisions that a deployment switches on.
+type Features struct {
+	// Even places by load estimates that account for their age.
+	Even bool
+	// Outliers places fewer new flows on endpoints that are slow or fail.
+	Outliers bool
+}
+
 // FlowCandidates returns at most maxFlowCandidates endpoints that accept new flows,
 // lowest cost first.
-func FlowCandidates(now time.Time, hash, zone uint64, agents []*roster.Agent) (list []frame.Host) {
-	candidates := make([]scoredAgent, 0, len(agents))
-	for _, s := range agents {
-		if s.AcceptsFlows(now) {
+func FlowCandidates(q *Request) (list []frame.Host) {
+	candidates := make([]scoredAgent, 0, len(q.Agents))
+	for _, s := range q.Agents {
+		if s.AcceptsFlows(q.Now) && !slices.Contains(q.Exclude, s.Host) {
 			candidates = append(candidates, scoredAgent{
 				agent: s,
-				cost:  PlacementCost(now, zone, s) + maxRandomCost*hashFraction(hash, s.Host),
+				cost:  PlacementCost(q.Now, q.Zone, s) + maxRandomCost*hashFraction(q.Hash, s.Host),
 			})
 		}
 	}
--- a/internal/relay/place/place_test.go
+++ b/internal/relay/place/place_test.go
@@ -48,7 +48,7 @@
 				s.ColdUntil = now.Add(time.Second)
 			}
 		}
-		got := place.FlowCandidates(now, 7, 1, list)
+		got := candidates(now, 7, list)
 		Expect(got).To(HaveLen(8))
 		Expect(got[:4]).To(ConsistOf(frame.Host(27), frame.Host(28), frame.Host(29), frame.Host(30)))
 	})
@@ -67,7 +67,7 @@
 					s.Average = uint16(loads[s.Host] * 64)
 				}
 			}
-			loads[place.FlowCandidates(now, generator.Uint64(), 1, list)[0]] += loadPerFlow
+			loads[candidates(now, generator.Uint64(), list)[0]] += loadPerFlow
 			randomLoads[list[generator.IntN(len(list))].Host] += loadPerFlow
 		}
 		GinkgoWriter.Printf("deviation %.3f, with random placement %.3f\n", relativeDeviation(loads), relativeDeviation(randomLoads))
@@ -112,3 +112,13 @@
 		Expect(kept).To(Equal(before))
 	})
 })
+
+// candidates returns the candidates of a flow that arrives in failure domain 1.
+func candidates(now time.Time, hash uint64, agents []*roster.Agent) []frame.Host {
+	return place.FlowCandidates(&place.Request{
+		Now:    now,
+		Hash:   hash,
+		Zone:   1,
+		Agents: agents,
+	})
+}
--- a/internal/relay/router/open.go
+++ b/internal/relay/router/open.go
@@ -68,7 +68,13 @@
 func (g *Router) placeFlow(now time.Time, route *plan.Route, p Packet) {
 	hash := p.Key.Hash()
 	service := route.ChooseService(hash)
-	list := place.FlowCandidates(now, hash, g.zone, g.members.ServiceAgents(service))
+	list := place.FlowCandidates(&place.Request{
+		Now:      now,
+		Hash:     hash,
+		Zone:     g.zone,
+		Agents:   g.members.ServiceAgents(service),
+		Features: g.features,
+	})
 	if len(list) == 0 {
 		g.refuseUnplaced(now, service, p)
 		return
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/relay/place"
 	"github.com/clementinewing/clementinewing/internal/relay/plan"
 	"github.com/clementinewing/clementinewing/internal/relay/roster"
 	"github.com/clementinewing/clementinewing/internal/world/link"
@@ -191,11 +192,23 @@
 	loads   map[spec.ServiceID]serviceLoad
 	sweepAt time.Time
 	actions []Action
+
+	features place.Features
+}
+
+// Option sets one property of a Router.
+type Option func(*Router)
+
+// WithFeatures sets the decisions that the deployment switches on.
+func WithFeatures(f place.Features) Option {
+	return func(g *Router) {
+		g.features = f
+	}
 }
 
 // New returns the state machine of the balancer at self, which started at the given time.
-func New(self frame.Host, zone uint64, startedAt time.Time, members *roster.Roster, active *plan.Active) *Router {
-	return &Router{
+func New(self frame.Host, zone uint64, startedAt time.Time, members *roster.Roster, active *plan.Active, options ...Option) *Router {
+	g := &Router{
 		self:      self,
 		zone:      zone,
 		startedAt: startedAt,
@@ -204,6 +217,10 @@
 		flows:     map[link.Key]*flow{},
 		loads:     map[spec.ServiceID]serviceLoad{},
 	}
+	for _, o := range options {
+		o(g)
+	}
+	return g
 }
 
 // Flows returns the size of the flow table.
