trial/procs: reserve a loopback address for each rig

Specs failed three times with "bind: address already in use": the rig chose a port, released it and handed it to a process that bound it later, and another rig or another process of the same rig could be given it meanwhile. A rig now keeps a listener on a loopback address of its own and numbers the ports on it, so no two processes are given the same one.

--- a/internal/trial/procs/fleet_test.go
+++ b/internal/trial/procs/fleet_test.go
@@ -52,6 +52,7 @@
 	fabrics  map[string]netip.AddrPort
 	status   map[string]netip.AddrPort
 	store    netip.AddrPort
+	loopback *loopback
 	contacts string
 	dead     sync.Map
 	// killedAt is when an upstream's agent was killed, in Unix nanoseconds.
@@ -72,6 +73,7 @@
 		fabrics:  map[string]netip.AddrPort{},
 		status:   map[string]netip.AddrPort{},
 		score:    &score.Score{},
+		loopback: reserveLoopback(),
 	}
 	var err error
 	f.fabric, err = fabric.New(1, fabric.WithFaults(0.002, 0.002, 0.01))
@@ -98,27 +100,44 @@
 }
 
 const (
-	// firstPort and portCount are ports below those that the kernel gives to other sockets.
-	firstPort = 20_000
-	portCount = 10_000
+	// reservationPort is the port that a rig keeps open on the address that it has reserved.
+	// The ports of its processes follow it, all below those that the kernel gives to sockets
+	// which ask for none.
+	reservationPort = 20_000
+	// maxReservations bounds the addresses that a rig tries.
+	maxReservations = 100
 )
 
-// freeAddress returns a loopback address whose port is free for TCP and UDP. No other socket
-// gets it before the process under test binds it, unless it asks for it by number.
-func freeAddress() netip.AddrPort {
-	for {
-		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+rand.IntN(portCount)))
-		l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(a))
+// loopback is a loopback address that belongs to one rig. A port number alone cannot be reserved
+// for a process that binds it later: another rig may draw the same one.
+type loopback struct {
+	address netip.Addr
+	port    uint16
+}
+
+// reserveLoopback reserves a loopback address until the end of the spec. The listener keeps the
+// rigs of other specs and test processes from choosing the same address.
+func reserveLoopback() *loopback {
+	for range maxReservations {
+		a := netip.AddrFrom4([4]byte{127, byte(64 + rand.IntN(60)), byte(rand.IntN(256)), byte(1 + rand.IntN(254))})
+		l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(netip.AddrPortFrom(a, reservationPort)))
 		if err != nil {
 			continue
 		}
-		u, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
-		Expect(l.Close()).To(Succeed())
-		if err == nil {
-			Expect(u.Close()).To(Succeed())
-			return a
+		DeferCleanup(l.Close)
+		return &loopback{
+			address: a,
+			port:    reservationPort,
 		}
 	}
+	Fail("no loopback address is free")
+	return nil
+}
+
+// next returns an address with a port that no other process of the rig has been given.
+func (l *loopback) next() netip.AddrPort {
+	l.port++
+	return netip.AddrPortFrom(l.address, l.port)
 }
 
 func (f *fleet) start(name string, command ...string) {
@@ -141,23 +160,23 @@
 }
 
 func (f *fleet) startStore() {
-	f.store = freeAddress()
+	f.store = f.loopback.next()
 	f.start("store", f.fake, "store", "--listen", f.store.String())
 }
 
 func (f *fleet) startBalancers() {
 	var controls, contacts []string
 	for range balancers {
-		controls = append(controls, freeAddress().String())
+		controls = append(controls, f.loopback.next().String())
 	}
 	contacts = append(contacts, controls...)
 	f.contacts = strings.Join(contacts, ", ")
 	for n := range balancers {
 		name := fmt.Sprintf("balancer-%d", n+1)
-		f.fabrics[name] = freeAddress()
-		f.status[name] = freeAddress()
+		f.fabrics[name] = f.loopback.next()
+		f.status[name] = f.loopback.next()
 		path := f.write(name+".ini", fmt.Sprintf("[balancer]\nname = %s\n%sfabric = %s\ntunnel = %s\ncontrol = %s\nstatus = %s\ncontacts = %s\n[store]\naddress = %s\n%s",
-			name, common, f.fabrics[name], freeAddress(), controls[n], f.status[name], f.contacts, f.store, security+firstKey))
+			name, common, f.fabrics[name], f.loopback.next(), controls[n], f.status[name], f.contacts, f.store, security+firstKey))
 		f.start(name, f.program, "balancer", "--settings", path)
 	}
 	f.updateFabric()
@@ -178,7 +197,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(u.Kill)
 	path := f.write(name+".ini", fmt.Sprintf("[agent]\nname = %s\n%sfabric = %s\ntunnel = %s\ncontacts = %s\nservice = %s\nupstream = %s\n%s",
-		name, common, f.fabric.AnswerAddress(), freeAddress(), f.contacts, service, u.Address(), security+firstKey))
+		name, common, f.fabric.AnswerAddress(), f.loopback.next(), f.contacts, service, u.Address(), security+firstKey))
 	f.start(name, f.program, "agent", "--settings", path)
 }
 
