relay: evacuate failure domains and limit the new flows of cold endpoints

Operators evacuate a failure domain by an item in the store. Nothing kept new flows out of it, and an endpoint that had just started got as many new flows as a warm one.

The poll of the store reads the evacuated failure domains with the position, heartbeats carry them, and agents are told in answer to their load reports. Balancers place nothing in an evacuated failure domain; agents refuse SYNs there, while they do not know the set, and beyond the rate of a cold endpoint. Active only where the settings enable zone_evacuation.

--- a/internal/relay/admit/controller.go
+++ b/internal/relay/admit/controller.go
@@ -65,7 +65,7 @@
 
 // Event is PacketForEndpoint, PacketFromEndpoint, PacketBounced, OwnerAnnounced,
 // OwnerQueried, ReportReceived, EndpointStopped, StopAccepting, StateRemembered,
-// RegistrationKnown, BalancerFound, EndpointUnreachable or Tick.
+// RegistrationKnown, BalancerFound, EndpointUnreachable, EvacuationsReceived or Tick.
 type Event interface{ event() }
 
 // PacketForEndpoint is a caller's packet forwarded by a balancer or another agent.
@@ -170,7 +170,7 @@
 
 // Action is Deliver, ForwardToCandidate, ReturnToBalancer, AnnounceOwner, DenyOwnership,
 // RequestQueued, RequestAbandoned, SendToCaller, FlowAccepted, RequestStarted,
-// RequestAnswered, ReportRefused or StateChanged.
+// RequestAnswered, ReportRefused, EvacuationChanged or StateChanged.
 type Action interface{ action() }
 
 // Deliver sends a packet to the endpoint. The packet comes back with Mark if it bounces.
@@ -308,6 +308,9 @@
 	lastTickAt  time.Time
 	nextSweepAt time.Time
 	actions     []Action
+
+	// evacuation is nil if the agent does not follow evacuations.
+	evacuation *evacuation
 }
 
 // remoteOwner is the owner of a flow at another endpoint.
@@ -377,6 +380,7 @@
 // Step processes one event. The returned actions are valid until the next call.
 func (h *Controller) Step(now time.Time, e Event) []Action {
 	h.actions = h.actions[:0]
+	h.runEvacuation(now)
 	switch e := e.(type) {
 	case PacketForEndpoint:
 		h.handlePacketForEndpoint(now, e)
@@ -402,6 +406,8 @@
 		h.awaitRegistration(now)
 	case EndpointUnreachable:
 		h.handleUnreachable(e)
+	case EvacuationsReceived:
+		h.handleEvacuations(now, &e.Evacuations)
 	case Tick:
 		h.handleTick(now)
 	}
@@ -435,6 +441,8 @@
 		Average:   uint16(min(h.averageLoad*roster.LoadUnit, 0xffff)),
 		Flows:     uint16(min(h.openFlows, 0xffff)),
 		ColdMS:    uint16(max(0, min(e.coldUntil.Sub(now).Milliseconds(), 0xffff))),
+
+		Evacuations: h.evacuationVersion(now),
 	}
 }
 
--- a/internal/relay/admit/delivery.go
+++ b/internal/relay/admit/delivery.go
@@ -48,6 +48,7 @@
 	if ok && f.sequence == p.Sequence && f.initialKnown {
 		f.balancer = c.Balancer
 		if h.mayRedeliverOpening(now, f) {
+			h.recordDelivery(now)
 			h.deliverToEndpoint(now, p, c, deliverOwned)
 		}
 		h.announceOwner(f, p.Key)
@@ -65,7 +66,7 @@
 		h.forwardToNextCandidate(p, c, reason)
 		return
 	}
-	if h.inUse >= h.openingCapacity() {
+	if h.inUse >= h.openingCapacity() || h.coldFull(now) {
 		if len(h.queue) >= maxQueued {
 			h.forwardToNextCandidate(p, c, QueueFull)
 			return
@@ -81,7 +82,8 @@
 // endpoint would take the copy for a new flow. A caller that has given up needs no answer.
 func (h *Controller) mayRedeliverOpening(now time.Time, f *flow) bool {
 	leaves := h.endpoint.state() == node.Draining || h.endpoint.state() == node.Gone
-	return !f.confirmed && !leaves && now.Before(f.phaseAt.Add(attemptTimeout))
+	mayGetIt := !h.evacuated() && !h.coldFull(now)
+	return !f.confirmed && !leaves && mayGetIt && now.Before(f.phaseAt.Add(attemptTimeout))
 }
 
 // forwardToEarlierCopy forwards a retransmitted SYN to the agent where an earlier copy
@@ -126,6 +128,7 @@
 		callerEndKnown: true,
 	}
 	f.setRoute(c)
+	h.recordDelivery(now)
 	h.setPhase(f, phaseOpening)
 	h.flows[p.Key] = f
 	h.deliverToEndpoint(now, p, c, deliverOpening)
@@ -143,6 +146,8 @@
 		return Leaving, true
 	case e.state() != node.Serving:
 		return NotServing, true
+	case h.evacuated():
+		return Evacuated, true
 	case now.Before(e.refusedUntil):
 		return EndpointRefused, true
 	case len(h.flows) >= maxFlows:
@@ -150,10 +155,16 @@
 	case !e.proven && h.inUse > 0:
 		return Unproven, true
 	case h.openFlows >= h.maxOpenFlows(c) && c.Flags&frame.Chosen == 0:
-		h.recordLeastLoaded(c)
+		h.recordLeastLoaded(c, 0)
 		return FlowsFull, true
+	case h.coldFull(now) && c.Flags&frame.Chosen == 0:
+		h.recordLeastLoaded(c, h.coldLoad(now))
+		return ColdFull, true
+	case h.ramping(now) && c.Flags&frame.Chosen == 0:
+		h.recordLeastLoaded(c, 0)
+		return SlowStart, true
 	case h.inUse >= h.openingCapacity() && c.Flags&frame.Chosen == 0:
-		h.recordLeastLoaded(c)
+		h.recordLeastLoaded(c, 0)
 		return SlotsFull, true
 	default:
 		return 0, false
@@ -175,9 +186,9 @@
 }
 
 // recordLeastLoaded records this candidate in the packet's header if it is the least
-// loaded one so far.
-func (h *Controller) recordLeastLoaded(c *frame.Forward) {
-	load := uint16(min((h.inUse+len(h.queue))*roster.LoadUnit/int(h.endpoint.slots), 0xffff))
+// loaded one so far. The extra load is added to that of its slots.
+func (h *Controller) recordLeastLoaded(c *frame.Forward, extra int) {
+	load := uint16(min((h.inUse+len(h.queue))*roster.LoadUnit/int(h.endpoint.slots)+extra, 0xffff))
 	if c.Best == frame.NoBest || load < c.BestLoad {
 		c.Best = c.Position
 		c.BestLoad = load
@@ -223,6 +234,7 @@
 			Conclusive:    c.Flags&frame.CandidateSilent == 0 && (!listExhausted || c.Flags&frame.ListComplete != 0),
 			ListExhausted: listExhausted,
 			LookupStage:   c.LookupStage,
+			Evacuated:     reason == Evacuated,
 			Packet:        c.Packet,
 		},
 		Key:    p.Key,
@@ -275,6 +287,7 @@
 		return
 	}
 	if ok && purpose == deliverOwned {
+		h.suspectRestart()
 		h.setPhase(f, phaseIdle)
 		delete(h.flows, b.Packet.Key)
 		h.recordEndedFlow(b.Packet.Key, f)
--- a/internal/relay/admit/endpoint.go
+++ b/internal/relay/admit/endpoint.go
@@ -63,6 +63,9 @@
 	// this, since the wall clock may have been set.
 	sawAllFlows bool
 	coldUntil   time.Time
+	// awaitsEvacuations is set while the agent does not know which failure domains are
+	// evacuated.
+	awaitsEvacuations bool
 }
 
 // state returns the state that is reported to balancers.
@@ -72,7 +75,7 @@
 		return node.Gone
 	case e.draining || e.leaving:
 		return node.Draining
-	case e.silent || e.refusedOpening || e.awaitsReport && !e.reported || e.absent() || !e.registered && !e.unregistered:
+	case e.awaitsEvacuations || e.silent || e.refusedOpening || e.awaitsReport && !e.reported || e.absent() || !e.registered && !e.unregistered:
 		return node.Joining
 	default:
 		return node.Serving
@@ -151,6 +154,7 @@
 		return
 	}
 	before := e.state()
+	h.suspectRestart()
 	h.dropFlows()
 	e.gone = true
 	h.endRegistration()
@@ -174,6 +178,7 @@
 func (h *Controller) markSilent(reason Reason) {
 	e := &h.endpoint
 	before := e.state()
+	h.suspectRestart()
 	e.silent = true
 	h.emitStateChange(before, reason)
 }
--- a/internal/relay/admit/queue.go
+++ b/internal/relay/admit/queue.go
@@ -179,7 +179,7 @@
 // caller is the least likely to have given up. A queued SYN that the endpoint would now
 // reject may be served without capacity: serveQueue forwards it.
 func (h *Controller) nextQueued(now time.Time) (best *queueEntry) {
-	openings, requests := h.capacityLeft()
+	openings, requests := h.capacityLeft(now)
 	for _, w := range h.queue {
 		may := openings
 		if w.flow != nil {
@@ -197,13 +197,13 @@
 // capacityLeft reports whether the endpoint has capacity for queued SYNs and for queued
 // requests. While requests are queued, both share the same capacity, and their order
 // decides.
-func (h *Controller) capacityLeft() (openings, requests bool) {
+func (h *Controller) capacityLeft(now time.Time) (openings, requests bool) {
 	requests = h.inUse < h.requestCapacity()
+	openings = h.inUse < h.openingCapacity() || h.openingCredit >= 1 && h.inUse < int(h.endpoint.slots)*maxInUsePerSlot
 	if h.requestQueued() {
-		return requests, requests
+		openings = requests
 	}
-	openings = h.inUse < h.openingCapacity() || h.openingCredit >= 1 && h.inUse < int(h.endpoint.slots)*maxInUsePerSlot
-	return openings, requests
+	return openings && !h.coldFull(now), requests
 }
 
 // priority returns the priority of the route; 0 is the highest.
--- a/internal/relay/admit/reason.go
+++ b/internal/relay/admit/reason.go
@@ -56,6 +56,17 @@
 	Registered
 	// Unregistered: no balancer can register this agent, which serves all the same.
 	Unregistered
+	// Evacuated: the endpoint's failure domain is evacuated.
+	Evacuated
+	// ColdFull: the endpoint is cold and has got as many SYNs as it can serve.
+	ColdFull
+	// SlowStart: the endpoint has its share of new flows, which still grows after it was cold or
+	// its failure domain was evacuated.
+	SlowStart
+	// EvacuationsKnown: a balancer has told which failure domains are evacuated.
+	EvacuationsKnown
+	// EvacuationsUnknown: no balancer has confirmed in time which failure domains are evacuated.
+	EvacuationsUnknown
 
 	reasonCount
 )
@@ -85,6 +96,12 @@
 	FlowEnded:         "flow_ended",
 	Registered:        "registered",
 	Unregistered:      "unregistered",
+
+	Evacuated:          "evacuated",
+	ColdFull:           "cold_full",
+	SlowStart:          "slow_start",
+	EvacuationsKnown:   "evacuations_known",
+	EvacuationsUnknown: "evacuations_unknown",
 }
 
 // Reasons returns all reasons.
--- a/internal/relay/admit/report.go
+++ b/internal/relay/admit/report.go
@@ -71,6 +71,7 @@
 	e.slots = max(r.Slots, 1)
 	e.draining = r.Draining
 	e.coldUntil = r.ColdUntil
+	h.reportWarmth(now, r.ColdUntil)
 	e.reported = true
 	e.proven = true
 	e.silent = false
@@ -135,6 +136,7 @@
 		})
 		return
 	default:
+		h.suspectRestart()
 		e.gone = true
 		e.left = true
 		h.endRegistration()
--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -17,9 +17,11 @@
 	"github.com/clementinewing/clementinewing/internal/conf/relay"
 	"github.com/clementinewing/clementinewing/internal/edge/logs"
 	"github.com/clementinewing/clementinewing/internal/relay/admit"
+	"github.com/clementinewing/clementinewing/internal/relay/evac"
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/relay/port"
 	"github.com/clementinewing/clementinewing/internal/relay/roster"
+	"github.com/clementinewing/clementinewing/internal/relay/warm"
 )
 
 const (
@@ -110,6 +112,12 @@
 	} else if a.endpointRefuses() {
 		controllerOptions = append(controllerOptions, admit.EndpointAbsent())
 	}
+	if s.Features.ZoneEvacuation {
+		controllerOptions = append(controllerOptions, admit.FollowsEvacuations(evac.ZoneOf(s.Zone), a.process, warm.Limits{
+			Overage: s.ColdOverage,
+			Slack:   s.ColdSlack,
+		}))
+	}
 	a.controller = admit.New(a.self, s.Service, controllerOptions...)
 	if a.inner, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(s.Address, s.InnerPort))); err != nil {
 		return nil, err
--- a/internal/relay/agent/fleet.go
+++ b/internal/relay/agent/fleet.go
@@ -133,11 +133,14 @@
 func (a *Agent) sendReports(now time.Time, wantsMembers bool) {
 	a.sequence++
 	l := a.newLoadReport(now, wantsMembers)
+	evacuations := l.Evacuations
 	a.balancers.NextRound()
 	for _, h := range a.balancers.Hosts() {
 		l.BalancersDigest = frame.NoDigest
+		l.Evacuations = evacuations
 		if a.balancers.ChecksList(now, h) {
 			l.BalancersDigest = a.balancers.Digest()
+			l.Evacuations = a.controller.EvacuationChallenge()
 		}
 		a.send(h, l)
 	}
--- a/internal/relay/agent/packets.go
+++ b/internal/relay/agent/packets.go
@@ -130,6 +130,10 @@
 		a.execute(a.controller.Step(now, admit.RegistrationKnown{
 			Status: m.Status,
 		}))
+	case frame.Evacuations:
+		a.execute(a.controller.Step(now, admit.EvacuationsReceived{
+			Evacuations: m,
+		}))
 	default:
 		a.counts.malformed++
 	}
@@ -173,6 +177,9 @@
 			a.recordLatency(LatencyRequest, x.Latency)
 		case admit.ReportRefused:
 			a.recordReportRefused(x)
+		case admit.EvacuationChanged:
+			a.counts.evacuationChanges++
+			a.logEvacuationChange(x)
 		case admit.StateChanged:
 			a.logStateChange(x)
 			a.sendReportsNow()
--- a/internal/relay/agent/serve.go
+++ b/internal/relay/agent/serve.go
@@ -147,6 +147,17 @@
 		Msg("report refused: it may come from an endpoint that has ended")
 }
 
+func (a *Agent) logEvacuationChange(c admit.EvacuationChanged) {
+	a.log.Important.Info().
+		Str("zone", a.settings.Zone).
+		Bool("evacuated", c.Evacuated).
+		Bool("kept_from_earlier_era", c.Carried).
+		Float64("cold_per_second", c.ColdRate).
+		Int("in_use", a.controller.InUse()).
+		Int("flows", a.controller.Flows()).
+		Msg("evacuation of this failure domain, or rate of cold endpoints, changed")
+}
+
 func (a *Agent) logStateChange(c admit.StateChanged) {
 	a.log.Important.Info().
 		Str("state", c.State.String()).
--- a/internal/relay/agent/state.go
+++ b/internal/relay/agent/state.go
@@ -46,12 +46,15 @@
 	sendErrors     uint64
 	storeCalls     uint64
 	storeFailures  uint64
-	forwarded      [maxReasons]uint64
-	returned       [maxReasons]uint64
+	// evacuationChanges counts how often the failure domain was evacuated or in use again, or the
+	// rate of cold endpoints changed.
+	evacuationChanges uint64
+	forwarded         [maxReasons]uint64
+	returned          [maxReasons]uint64
 }
 
 // maxReasons is the length of arrays that are indexed by admit.Reason.
-const maxReasons = 32
+const maxReasons = 64
 
 // Sample returns the current counters and gauges.
 func (a *Agent) Sample() (s meter.Sample) {
@@ -72,6 +75,7 @@
 		{Name: "store_calls", Value: c.storeCalls},
 		{Name: "store_failures", Value: c.storeFailures},
 		{Name: "log_lines_dropped", Value: a.log.Dropped()},
+		{Name: "evacuation_changes", Value: c.evacuationChanges},
 	}
 	for _, r := range admit.Reasons() {
 		s.Totals = append(s.Totals,
@@ -84,9 +88,25 @@
 		{Name: "flows", Value: float64(a.controller.Flows())},
 		{Name: "balancers", Value: float64(len(a.balancers.Hosts()))},
 	}
+	if e := a.controller.Evacuation(time.Now()); e.Followed {
+		s.Levels = append(s.Levels,
+			meter.Level{Name: "evacuations_known", Value: oneIf(e.Known)},
+			meter.Level{Name: "evacuated", Value: oneIf(e.Evacuated)},
+			meter.Level{Name: "cold", Value: oneIf(e.Cold)},
+			meter.Level{Name: "cold_limit", Value: float64(e.ColdLimit)},
+			meter.Level{Name: "openings_last_second", Value: float64(e.Delivered)},
+		)
+	}
 	return s
 }
 
+func oneIf(set bool) float64 {
+	if set {
+		return 1
+	}
+	return 0
+}
+
 // State is the published state of an agent.
 type State struct {
 	Service string `json:"service"`
@@ -100,6 +120,26 @@
 	// Registered reports whether the member record lists the agent, as far as it knows.
 	Registered bool     `json:"registered"`
 	Balancers  []string `json:"balancers"`
+	// Evacuation is absent if the deployment does not evacuate failure domains.
+	Evacuation *EvacuationState `json:"evacuation,omitempty"`
+}
+
+// EvacuationState is what the agent knows of its failure domain and its endpoint's warmth.
+type EvacuationState struct {
+	// Known is false while the agent takes no new flow because it does not know which failure
+	// domains are evacuated.
+	Known     bool `json:"known"`
+	Evacuated bool `json:"evacuated"`
+	// Carried reports that the failure domain is evacuated because it was so before the store
+	// came back from an older copy.
+	Carried bool `json:"kept_from_earlier_era"`
+	// Cold reports that the endpoint is cold, or may be. ColdRate is the requests per second that
+	// it can then serve, ColdLimit the new flows that it gets in a second, 0 for no limit.
+	Cold      bool    `json:"cold"`
+	ColdRate  float64 `json:"cold_per_second"`
+	ColdLimit int     `json:"cold_limit"`
+	// Delivered is the number of new flows that it got in the last second.
+	Delivered int `json:"openings_last_second"`
 }
 
 // State returns the agent's current state.
@@ -121,6 +161,17 @@
 	for _, h := range a.balancers.Hosts() {
 		s.Balancers = append(s.Balancers, h.String())
 	}
+	if e := a.controller.Evacuation(time.Now()); e.Followed {
+		s.Evacuation = &EvacuationState{
+			Known:     e.Known,
+			Evacuated: e.Evacuated,
+			Carried:   e.Carried,
+			Cold:      e.Cold,
+			ColdRate:  e.ColdRate,
+			ColdLimit: e.ColdLimit,
+			Delivered: e.Delivered,
+		}
+	}
 	return s
 }
 
--- a/internal/relay/entry/entry.go
+++ b/internal/relay/entry/entry.go
@@ -84,6 +84,7 @@
 	lastPacketAt        time.Time
 	sendBuffer          []byte
 	counts              counts
+	evacuations         evacuations
 	recordLatency       func(name string, took time.Duration)
 	stopping            atomic.Bool
 }
@@ -125,10 +126,11 @@
 	}
 	b.members = roster.New(b.self)
 	b.record = roster.NewRecord(now)
+	b.evacuations = newEvacuations(s.Features.ZoneEvacuation, s.Zone)
 	b.router = router.New(b.self, xxhash.Sum64String(s.Zone), now, b.members, &b.activePlan, router.WithFeatures(place.Features{
 		Even:     s.Features.EvenPlacement,
 		Outliers: s.Features.OutlierDetection,
-	}))
+	}), router.WithEvacuations(b.evacuations.set))
 	if b.callers, err = listen(s.Callers); err != nil {
 		return nil, err
 	}
@@ -203,6 +205,7 @@
 		}
 		now := time.Now()
 		b.mutex.Lock()
+		b.evacuations.observeRunning(now)
 		b.execute(b.router.Step(now, router.Tick{}))
 		if now.After(heartbeatAt) {
 			heartbeatAt = now.Add(roster.HeartbeatInterval(len(b.members.Balancers())))
--- a/internal/relay/entry/packets.go
+++ b/internal/relay/entry/packets.go
@@ -124,6 +124,7 @@
 }
 
 func (b *Balancer) handleMessage(ctx context.Context, now time.Time, m frame.Message) {
+	b.evacuations.observeRunning(now)
 	switch m := m.(type) {
 	case frame.Owner:
 		b.execute(b.router.Step(now, router.Hint{
@@ -182,6 +183,7 @@
 	if l.WantsRegistration {
 		b.sendRegistration(l.Host, registered)
 	}
+	b.answerEvacuations(now, &l)
 }
 
 // handleHeartbeat applies the heartbeat of another balancer.
@@ -189,9 +191,13 @@
 	if b.members.ApplyHeartbeat(now, p) {
 		b.log.Important.Info().Str("balancer", p.Host.String()).Msg("balancer discovered")
 	}
-	if p.StoreAgeMS != frame.StoreAgeUnknown {
+	first := b.mergeEvacuations(&p)
+	if p.StoreAgeMS != frame.StoreAgeUnknown && b.evacuations.tellsStoreAge(now, &p) {
 		b.pollSchedule.RecordPoll(now.Add(-time.Duration(p.StoreAgeMS) * time.Millisecond))
 	}
+	if first {
+		b.answerWaitingAgents(now)
+	}
 	if p.WantsMembers {
 		b.send(p.Host, frame.MemberList{
 			Balancers: b.members.LiveBalancers(now),
@@ -240,6 +246,7 @@
 		Leaving:      b.leaving,
 		StoreLost:    b.fitness(now).StoreLost,
 		WantsMembers: wantsMembers,
+		Evacuations:  b.evacuations.told(),
 	}
 }
 
--- a/internal/relay/entry/state.go
+++ b/internal/relay/entry/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/edge/meter"
+	"github.com/clementinewing/clementinewing/internal/relay/evac"
 	"github.com/clementinewing/clementinewing/internal/relay/router"
 )
 
@@ -44,7 +45,7 @@
 }
 
 // maxReasons is the length of arrays that are indexed by router.Reason.
-const maxReasons = 32
+const maxReasons = 64
 
 // Sample returns the current counters and gauges.
 func (b *Balancer) Sample() (s meter.Sample) {
@@ -62,6 +63,8 @@
 		{Name: "store_restores", Value: b.position.Restores()},
 		{Name: "plans_ignored", Value: c.plansIgnored},
 		{Name: "log_lines_dropped", Value: b.log.Dropped()},
+		{Name: "evacuation_changes", Value: b.evacuations.changes},
+		{Name: "evacuation_answers", Value: b.evacuations.answers},
 	}
 	for _, r := range router.Reasons() {
 		s.Totals = append(s.Totals,
@@ -84,10 +87,24 @@
 		{Name: "store_answer_age_seconds", Value: b.storeAge().Seconds()},
 		{Name: "store_era", Value: float64(b.position.Latest().Era)},
 		{Name: "store_revision", Value: float64(b.position.Latest().Revision)},
+		{Name: "evacuated_zones", Value: float64(len(b.evacuations.set.Zones()))},
+	}
+	if b.evacuations.set != nil {
+		s.Levels = append(s.Levels, meter.Level{
+			Name:  "evacuations_known",
+			Value: oneIf(b.evacuations.set.Known()),
+		})
 	}
 	return s
 }
 
+func oneIf(set bool) float64 {
+	if set {
+		return 1
+	}
+	return 0
+}
+
 // storeAge returns the time since the store last answered any balancer, or the uptime of
 // this process if it has not answered yet.
 func (b *Balancer) storeAge() time.Duration {
@@ -105,6 +122,21 @@
 	StoreAgeMS   int64        `json:"store_answer_age_ms"`
 	Balancers    []string     `json:"balancers"`
 	Agents       []AgentState `json:"side_processes"`
+	// Evacuations is absent if the deployment does not evacuate failure domains.
+	Evacuations *EvacuationState `json:"evacuations,omitempty"`
+}
+
+// EvacuationState is what the balancer knows of the evacuated failure domains.
+type EvacuationState struct {
+	Known    bool   `json:"known"`
+	Era      uint64 `json:"store_era"`
+	Revision uint64 `json:"store_revision"`
+	// Zones are the names of the evacuated failure domains, or the hashes of those whose name
+	// this balancer has not read itself.
+	Zones []string `json:"zones"`
+	// Carried are those that are evacuated because they were so before the store came back from
+	// an older copy.
+	Carried []string `json:"kept_from_earlier_era,omitempty"`
 }
 
 // AgentState is the published state of one agent as the balancer knows it.
@@ -117,6 +149,8 @@
 	InUse   uint16  `json:"in_use"`
 	Average float64 `json:"average"`
 	Silent  bool    `json:"silent"`
+	// Evacuated reports whether the agent's failure domain is evacuated.
+	Evacuated bool `json:"evacuated"`
 	// Registered reports whether the member record lists the agent, as far as is known.
 	Registered bool `json:"registered"`
 }
@@ -147,11 +181,26 @@
 			Silent:  x.Silent(now),
 
 			Registered: b.members.Registered(h),
+			Evacuated:  b.evacuations.set.Evacuated(evac.Zone(x.Zone)),
 		})
 	}
+	s.Evacuations = b.evacuations.state()
 	return s
 }
 
+func (e *evacuations) state() *EvacuationState {
+	if e.set == nil {
+		return nil
+	}
+	return &EvacuationState{
+		Known:    e.set.Known(),
+		Era:      e.set.Position().Era,
+		Revision: e.set.Position().Revision,
+		Zones:    e.zoneNames(),
+		Carried:  e.carriedNames(),
+	}
+}
+
 // Ready reports whether the network's routers should send packets to the balancer.
 func (b *Balancer) Ready() bool {
 	b.mutex.Lock()
--- a/internal/relay/entry/store.go
+++ b/internal/relay/entry/store.go
@@ -86,6 +86,7 @@
 		return false
 	}
 	b.observePosition(c.Position)
+	b.observeEvacuations(c.Position, c.Evacuated)
 	present := false
 	b.mutex.Lock()
 	b.pollSchedule.RecordPoll(start)
@@ -99,6 +100,7 @@
 	}
 	b.observeRecord(c.Members, c.Position.Era)
 	b.applyRecord(start, c.Members, c.Position.Era)
+	b.answerWaitingAgents(time.Now())
 	b.mutex.Unlock()
 	b.log.Important.Info().
 		Int("balancers", len(c.Balancers)).
@@ -166,7 +168,8 @@
 	}
 }
 
-// pollStore polls the store's revision and reads the plan if the revision has changed.
+// pollStore polls the store's position, with the evacuated failure domains, and reads the plan if the
+// position has changed.
 func (b *Balancer) pollStore(ctx context.Context) {
 	start := time.Now()
 	err := b.pollStoreOnce(ctx)
@@ -187,7 +190,7 @@
 func (b *Balancer) pollStoreOnce(ctx context.Context) (err error) {
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	position, err := b.store.Position(call)
+	position, err := b.readPosition(call)
 	if err != nil {
 		return err
 	}
@@ -255,6 +258,7 @@
 	now := time.Now()
 	b.updateReady(now)
 	b.sendHeartbeats(now)
+	b.answerWaitingAgents(now)
 }
 
 // recordIgnoredPlan counts and logs a plan that was not put in force, unless it is the one
--- a/internal/relay/frame/codec.go
+++ b/internal/relay/frame/codec.go
@@ -27,7 +27,7 @@
 	case *Forward:
 		return appendForward(out, m)
 	case Return:
-		out = append(out, magic, version, kindReturn, bitIf(m.Conclusive, bit0)|bitIf(m.ListExhausted, bit1)|bitIf(m.FlowEnded, bit2), m.Reason, m.LookupStage)
+		out = append(out, magic, version, kindReturn, bitIf(m.Conclusive, bit0)|bitIf(m.ListExhausted, bit1)|bitIf(m.FlowEnded, bit2)|bitIf(m.Evacuated, bit3), m.Reason, m.LookupStage)
 		out = byteOrder.AppendUint32(out, uint32(m.Host))
 		return append(out, m.Packet...)
 	case Owner:
@@ -51,6 +51,8 @@
 		return appendKey(out, m.Key)
 	case Registration:
 		return append(out, magic, version, kindRegistration, byte(m.Status))
+	case Evacuations:
+		return appendEvacuations(out, &m)
 	default:
 		return out
 	}
@@ -124,13 +126,19 @@
 }
 
 func appendHeartbeat(out []byte, m Heartbeat) []byte {
-	// bit2 tells that the version of the plan follows, which earlier releases do not send.
-	out = append(out, magic, version, kindHeartbeat, bitIf(m.Leaving, bit0)|bitIf(m.WantsMembers, bit1)|bit2|bitIf(m.StoreLost, bit3))
+	// bit2 tells that the version of the plan follows and bit4 that the evacuated failure domains
+	// do, which earlier releases do not send.
+	bits := bitIf(m.Leaving, bit0) | bitIf(m.WantsMembers, bit1) | bit2 | bitIf(m.StoreLost, bit3) | bitIf(m.Evacuations != nil, bit4)
+	out = append(out, magic, version, kindHeartbeat, bits)
 	out = byteOrder.AppendUint32(out, uint32(m.Host))
 	out = byteOrder.AppendUint64(out, m.Process)
 	out = byteOrder.AppendUint64(out, m.Revision)
 	out = byteOrder.AppendUint32(out, m.StoreAgeMS)
-	return byteOrder.AppendUint64(out, m.PlanVersion)
+	out = byteOrder.AppendUint64(out, m.PlanVersion)
+	if m.Evacuations != nil {
+		out = appendEvacuationSet(out, m.Evacuations)
+	}
+	return out
 }
 
 func appendMemberList(out []byte, m MemberList) []byte {
@@ -171,6 +179,8 @@
 		m = Registration{
 			Status: RegistrationStatus(r.byte()),
 		}
+	case kindEvacuations:
+		m = r.evacuations()
 	default:
 		return nil, ErrUnknownFormat
 	}
@@ -245,6 +255,7 @@
 		Conclusive:    bits&bit0 != 0,
 		ListExhausted: bits&bit1 != 0,
 		FlowEnded:     bits&bit2 != 0,
+		Evacuated:     bits&bit3 != 0,
 		Reason:        r.byte(),
 		LookupStage:   r.byte(),
 		Host:          r.host(),
@@ -349,6 +360,9 @@
 	if bits&bit2 != 0 {
 		m.PlanVersion = r.uint64()
 	}
+	if bits&bit4 != 0 {
+		m.Evacuations = r.evacuationSet()
+	}
 	return m
 }
 
--- a/internal/relay/frame/frame.go
+++ b/internal/relay/frame/frame.go
@@ -30,6 +30,8 @@
 	kindDenial     = 8
 	// kindRegistration is unknown to earlier releases, which drop it.
 	kindRegistration = 9
+	// kindEvacuations is unknown to earlier releases, which drop it.
+	kindEvacuations = 12
 
 	headerBytes = 3
 	// MaxList limits the candidate list that a balancer sends.
@@ -47,7 +49,7 @@
 )
 
 // Message is the content of one datagram: *Forward, Return, Owner, LoadReport,
-// Heartbeat, MemberList, OwnerQuery, Denial or Registration.
+// Heartbeat, MemberList, OwnerQuery, Denial, Registration or Evacuations.
 type Message interface{ message() }
 
 // Host is the IPv4 address of a balancer or agent. All processes use the same ports.
@@ -137,7 +139,9 @@
 	ListExhausted bool
 	// FlowEnded reports that the flow was the endpoint's and that the endpoint no longer
 	// holds it, so that no endpoint does.
-	FlowEnded   bool
+	FlowEnded bool
+	// Evacuated reports that the endpoint refused a SYN because its failure domain is evacuated.
+	Evacuated   bool
 	LookupStage uint8
 	Packet      []byte
 }
@@ -201,7 +205,8 @@
 	// BalancersDigest is the digest of the sender's list of balancers if the receiver should
 	// check it, otherwise NoDigest.
 	BalancersDigest uint64
-	// Evacuations is the version of the evacuated failure domains that the agent knows, or 0.
+	// Evacuations is the version of the evacuated failure domains that the agent knows, a
+	// request for an Evacuations message if it knows none, or 0 if it does not follow them.
 	Evacuations uint64
 	// ServiceTimeMS is the endpoint's average time from a request to the start of its answer in
 	// milliseconds, or 0 if unknown.
@@ -232,6 +237,8 @@
 	StoreLost bool
 	// WantsMembers requests a MemberList.
 	WantsMembers bool
+	// Evacuations are the evacuated failure domains, or nil if the sender does not know them.
+	Evacuations *EvacuationSet
 }
 
 // StoreAgeUnknown is the value of Heartbeat.StoreAgeMS if no successful poll of the store
--- a/internal/relay/place/place.go
+++ b/internal/relay/place/place.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/flow/rank"
+	"github.com/clementinewing/clementinewing/internal/relay/evac"
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/relay/roster"
 	"github.com/clementinewing/clementinewing/internal/world/node"
@@ -64,6 +65,9 @@
 	Agents []*roster.Agent
 	// Exclude holds endpoints that have already refused the flow.
 	Exclude []frame.Host
+	// Evacuations holds the evacuated failure domains, or is nil. Their endpoints get no new
+	// flow.
+	Evacuations *evac.Set
 	Features
 }
 
@@ -80,7 +84,7 @@
 func FlowCandidates(q *Request) (list []frame.Host) {
 	candidates := make([]scoredAgent, 0, len(q.Agents))
 	for _, s := range q.Agents {
-		if s.AcceptsFlows(q.Now) && !slices.Contains(q.Exclude, s.Host) {
+		if s.AcceptsFlows(q.Now) && !q.Evacuations.Evacuated(evac.Zone(s.Zone)) && !slices.Contains(q.Exclude, s.Host) {
 			candidates = append(candidates, scoredAgent{
 				agent: s,
 				cost:  PlacementCost(q.Now, q.Zone, s) + maxRandomCost*hashFraction(q.Hash, s.Host),
--- a/internal/relay/port/port.go
+++ b/internal/relay/port/port.go
@@ -59,6 +59,8 @@
 	Balancers []frame.Host
 	// Members is the member record.
 	Members Members
+	// Evacuated are the names of the evacuated failure domains.
+	Evacuated []string
 	// Unreadable holds an error for each item that was skipped.
 	Unreadable []error
 	// Position is that of the store before the items were read.
@@ -87,6 +89,9 @@
 	Contents(ctx context.Context) (Contents, error)
 	// Position reads the store's current position.
 	Position(ctx context.Context) (plan.Position, error)
+	// Evacuations reads the names of the evacuated failure domains, and the store's current
+	// position in the same call.
+	Evacuations(ctx context.Context) (zones []string, p plan.Position, err error)
 	// Plan reads the plan.
 	Plan(ctx context.Context) (*plan.Plan, error)
 	// Balancers reads the balancer directory.
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -366,9 +366,8 @@
 // heartbeats, by fitness and then by address. Work that one balancer does for all is done by
 // the one of rank 0.
 func (r *Roster) Rank(now time.Time, own Fitness) (rank int) {
-	liveTimeout := maxMissedHeartbeats*HeartbeatInterval(len(r.balancers)) + heartbeatDelay
 	for h, b := range r.balancers {
-		if !b.Heard || !now.Before(b.HeardAt.Add(liveTimeout)) {
+		if !r.live(now, b) {
 			continue
 		}
 		other := Fitness{
@@ -382,6 +381,24 @@
 	return rank
 }
 
+// live reports whether a balancer has missed no more than a few heartbeats.
+func (r *Roster) live(now time.Time, b *Balancer) bool {
+	timeout := maxMissedHeartbeats*HeartbeatInterval(len(r.balancers)) + heartbeatDelay
+	return b.Heard && now.Before(b.HeardAt.Add(timeout))
+}
+
+// HearsMost reports whether at least half of the other balancers that are known have missed no
+// more than a few heartbeats. One that was last heard before since does not count.
+func (r *Roster) HearsMost(now, since time.Time) bool {
+	heard := 0
+	for _, b := range r.balancers {
+		if r.live(now, b) && !b.HeardAt.Before(since) {
+			heard++
+		}
+	}
+	return 2*heard >= len(r.balancers)
+}
+
 // Digest returns a sum that identifies a set of hosts.
 func Digest(list []frame.Host) (sum uint64) {
 	for _, h := range list {
--- a/internal/relay/router/lookup.go
+++ b/internal/relay/router/lookup.go
@@ -164,7 +164,7 @@
 	p := e.Packet
 	x, ok := g.flows[p.Key]
 	if p.Kind == link.Opening {
-		g.handleRejection(x, e)
+		g.handleRejection(now, x, e)
 		return
 	}
 	if e.FlowEnded {
@@ -270,7 +270,7 @@
 
 // handleRejection refuses a SYN that no candidate takes, unless another copy of it has
 // been accepted meanwhile.
-func (g *Router) handleRejection(x *flow, e Returned) {
+func (g *Router) handleRejection(now time.Time, x *flow, e Returned) {
 	if x == nil || x.sequence != e.Packet.Sequence || x.pending == nil && !x.queuedAt(e.Host) {
 		g.addAction(Drop{
 			Packet: e.Packet,
@@ -278,10 +278,17 @@
 		})
 		return
 	}
+	reason := AllRejected
+	if e.Evacuated {
+		if g.placeElsewhere(now, x, e.Host, e.Packet, e.Return.Packet) {
+			return
+		}
+		reason = Evacuated
+	}
 	delete(g.flows, e.Packet.Key)
 	g.addAction(Refuse{
 		Packet: e.Packet,
-		Reason: AllRejected,
+		Reason: reason,
 	})
 }
 
--- a/internal/relay/router/open.go
+++ b/internal/relay/router/open.go
@@ -7,9 +7,7 @@
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/relay/place"
 	"github.com/clementinewing/clementinewing/internal/relay/plan"
-	"github.com/clementinewing/clementinewing/internal/relay/roster"
 	"github.com/clementinewing/clementinewing/internal/world/link"
-	"github.com/clementinewing/clementinewing/internal/world/node"
 	"github.com/clementinewing/clementinewing/internal/world/spec"
 )
 
@@ -69,11 +67,12 @@
 	hash := p.Key.Hash()
 	service := route.ChooseService(hash)
 	list := place.FlowCandidates(&place.Request{
-		Now:      now,
-		Hash:     hash,
-		Zone:     g.zone,
-		Agents:   g.members.ServiceAgents(service),
-		Features: g.features,
+		Now:         now,
+		Hash:        hash,
+		Zone:        g.zone,
+		Agents:      g.members.ServiceAgents(service),
+		Evacuations: g.evacuations,
+		Features:    g.features,
 	})
 	if len(list) == 0 {
 		g.refuseUnplaced(now, service, p)
@@ -115,22 +114,23 @@
 
 // refuseUnplaced refuses a SYN that no endpoint takes. It is dropped instead if an endpoint may
 // take its retransmission: the balancer has just started and has heard no agent yet, or an agent
-// waits to be registered.
+// waits to be registered or to be told which failure domains are evacuated.
 func (g *Router) refuseUnplaced(now time.Time, service spec.ServiceID, p Packet) {
 	agents := g.members.ServiceAgents(service)
-	joining := slices.ContainsFunc(agents, func(s *roster.Agent) bool {
-		return s.State == node.Joining && s.WantsRegistration && !s.Silent(now)
-	})
-	if joining || len(agents) == 0 && now.Before(g.startedAt.Add(startupTimeout)) {
+	if g.awaitsAgent(now, agents) || len(agents) == 0 && now.Before(g.startedAt.Add(startupTimeout)) {
 		g.addAction(Drop{
 			Packet: p.Packet,
 			Reason: Starting,
 		})
 		return
 	}
+	reason := NoEndpoint
+	if g.onlyEvacuated(now, service) {
+		reason = Evacuated
+	}
 	g.addAction(Refuse{
 		Packet: p.Packet,
-		Reason: NoEndpoint,
+		Reason: reason,
 	})
 }
 
@@ -172,6 +172,10 @@
 	}
 	o.tries++
 	o.candidates = append(o.candidates[1:len(o.candidates):len(o.candidates)], o.candidates[0])
+	if o.candidates = g.withoutEvacuated(o.candidates); len(o.candidates) == 0 {
+		x.pending = nil
+		return false
+	}
 	o.sentAt = now
 	o.resendAt = now.Add(resendDelay << o.tries)
 	g.sendOpening(x, o, Resent)
--- a/internal/relay/router/reason.go
+++ b/internal/relay/router/reason.go
@@ -33,6 +33,12 @@
 	AllDenied
 	// OwnerRestarted: the owner restarted and lost the flow.
 	OwnerRestarted
+	// Evacuated: the endpoints of the service that take new flows are all in evacuated failure
+	// domains.
+	Evacuated
+	// Replaced: agents have refused a SYN because their failure domain is evacuated, and it went
+	// to endpoints of others.
+	Replaced
 
 	reasonCount
 )
@@ -52,6 +58,8 @@
 	OwnerUnknown:   "owner_unknown",
 	AllDenied:      "all_denied",
 	OwnerRestarted: "owner_restarted",
+	Evacuated:      "evacuated",
+	Replaced:       "placed_again",
 }
 
 // Reasons returns all reasons.
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -11,6 +11,7 @@
 	"math"
 	"time"
 
+	"github.com/clementinewing/clementinewing/internal/relay/evac"
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/relay/place"
 	"github.com/clementinewing/clementinewing/internal/relay/plan"
@@ -155,6 +156,9 @@
 	query *query
 	// retry is the lookup to repeat, or nil.
 	retry *lookupRetry
+	// refusedIn are failure domains whose agents have refused the SYN because they are
+	// evacuated.
+	refusedIn []uint64
 }
 
 // pendingFlow is a new flow whose SYN no endpoint has answered yet.
@@ -193,7 +197,8 @@
 	sweepAt time.Time
 	actions []Action
 
-	features place.Features
+	features    place.Features
+	evacuations *evac.Set
 }
 
 // Option sets one property of a Router.
