--- a/internal/relay/evac/set.go
+++ b/internal/relay/evac/set.go
@@ -98,7 +98,10 @@
 	case !s.known:
 		// It is not known when the set became what it is. Others may tell.
 		o.changed = 0
-	case s.position.Era == p.Era && maps.Equal(s.listed(), o.listed()):
+	case p.Era < s.position.Era || p.Era == s.position.Era && p.Revision <= s.position.Revision:
+		// A late answer.
+		o.changed = 0
+	case p.Era == s.position.Era && maps.Equal(s.listed(), o.listed()):
 		o.changed = s.changed
 	}
 	return s.merge(&o)
