evac, fault: evacuations under restarts, freezes, cuts and a lost or restored store

An agent relies on its set for 4 s since the store was asked for it and has it confirmed meanwhile: one that was frozen, or cut off together with balancers that know as little, would serve an evacuated failure domain. The balancer's part moves to evac, where fault plays it.

--- a/internal/relay/entry/entry.go
+++ b/internal/relay/entry/entry.go
@@ -130,7 +130,7 @@
 	b.router = router.New(b.self, xxhash.Sum64String(s.Zone), now, b.members, &b.activePlan, router.WithFeatures(place.Features{
 		Even:     s.Features.EvenPlacement,
 		Outliers: s.Features.OutlierDetection,
-	}), router.WithEvacuations(b.evacuations.set))
+	}), router.WithEvacuations(b.evacuations.set()))
 	if b.callers, err = listen(s.Callers); err != nil {
 		return nil, err
 	}
@@ -205,7 +205,7 @@
 		}
 		now := time.Now()
 		b.mutex.Lock()
-		b.evacuations.observeRunning(now)
+		b.evacuations.run(now)
 		b.execute(b.router.Step(now, router.Tick{}))
 		if now.After(heartbeatAt) {
 			heartbeatAt = now.Add(roster.HeartbeatInterval(len(b.members.Balancers())))
--- a/internal/relay/entry/packets.go
+++ b/internal/relay/entry/packets.go
@@ -124,7 +124,7 @@
 }
 
 func (b *Balancer) handleMessage(ctx context.Context, now time.Time, m frame.Message) {
-	b.evacuations.observeRunning(now)
+	b.evacuations.run(now)
 	switch m := m.(type) {
 	case frame.Owner:
 		b.execute(b.router.Step(now, router.Hint{
@@ -192,7 +192,7 @@
 		b.log.Important.Info().Str("balancer", p.Host.String()).Msg("balancer discovered")
 	}
 	first := b.mergeEvacuations(&p)
-	if p.StoreAgeMS != frame.StoreAgeUnknown && b.evacuations.tellsStoreAge(now, &p) {
+	if p.StoreAgeMS != frame.StoreAgeUnknown && b.evacuations.source.TellsStoreAge(now, &p) {
 		b.pollSchedule.RecordPoll(now.Add(-time.Duration(p.StoreAgeMS) * time.Millisecond))
 	}
 	if first {
@@ -246,7 +246,7 @@
 		Leaving:      b.leaving,
 		StoreLost:    b.fitness(now).StoreLost,
 		WantsMembers: wantsMembers,
-		Evacuations:  b.evacuations.told(),
+		Evacuations:  b.evacuations.source.Told(),
 	}
 }
 
--- a/internal/relay/entry/state.go
+++ b/internal/relay/entry/state.go
@@ -87,12 +87,12 @@
 		{Name: "store_answer_age_seconds", Value: b.storeAge().Seconds()},
 		{Name: "store_era", Value: float64(b.position.Latest().Era)},
 		{Name: "store_revision", Value: float64(b.position.Latest().Revision)},
-		{Name: "evacuated_zones", Value: float64(len(b.evacuations.set.Zones()))},
+		{Name: "evacuated_zones", Value: float64(len(b.evacuations.set().Zones()))},
 	}
-	if b.evacuations.set != nil {
+	if b.evacuations.source != nil {
 		s.Levels = append(s.Levels, meter.Level{
 			Name:  "evacuations_known",
-			Value: oneIf(b.evacuations.set.Known()),
+			Value: oneIf(b.evacuations.source.Known()),
 		})
 	}
 	return s
@@ -181,7 +181,7 @@
 			Silent:  x.Silent(now),
 
 			Registered: b.members.Registered(h),
-			Evacuated:  b.evacuations.set.Evacuated(evac.Zone(x.Zone)),
+			Evacuated:  b.evacuations.set().Evacuated(evac.Zone(x.Zone)),
 		})
 	}
 	s.Evacuations = b.evacuations.state()
@@ -189,15 +189,15 @@
 }
 
 func (e *evacuations) state() *EvacuationState {
-	if e.set == nil {
+	if e.source == nil {
 		return nil
 	}
 	return &EvacuationState{
-		Known:    e.set.Known(),
-		Era:      e.set.Position().Era,
-		Revision: e.set.Position().Revision,
-		Zones:    e.zoneNames(),
-		Carried:  e.carriedNames(),
+		Known:    e.source.Known(),
+		Era:      e.source.Position().Era,
+		Revision: e.source.Position().Revision,
+		Zones:    e.namesOf(e.source.Zones()),
+		Carried:  e.namesOf(e.carried()),
 	}
 }
 
--- a/internal/relay/evac/version.go
+++ b/internal/relay/evac/version.go
@@ -29,12 +29,6 @@
 	return max(xxhash.Sum64(b)&^unconfirmed, 1)
 }
 
-// WantsAnswer reports whether a balancer that knows a version answers the load report of an
-// agent that names another one.
-func WantsAnswer(reported, version uint64) bool {
-	return reported != 0 && reported != version
-}
-
 // Unconfirmed reports whether an agent has named a request instead of a version.
 func Unconfirmed(reported uint64) bool {
 	return reported&unconfirmed != 0
--- a/internal/relay/fault/caller_test.go
+++ b/internal/relay/fault/caller_test.go
@@ -148,6 +148,8 @@
 // receive handles a packet from an endpoint.
 func (c *caller) receive(p link.Packet) {
 	switch {
+	case p.Key != c.key:
+		c.deployment.closeOther(p)
 	case p.Flags&flagSyn != 0:
 		if c.open {
 			return
--- a/internal/relay/fault/deployment_test.go
+++ b/internal/relay/fault/deployment_test.go
@@ -59,6 +59,12 @@
 	// stateless is set if packets are forwarded without any state.
 	stateless  bool
 	violations []string
+	// evacuates is set if failure domains can be evacuated.
+	evacuates bool
+	// refusals counts the refused SYNs by reason.
+	refusals map[router.Reason]int
+	// nextPort is the caller's port of the last flow that openFlows has opened.
+	nextPort uint16
 }
 
 // balancer is one balancer; it is down while router is nil.
@@ -75,6 +81,7 @@
 	storeSeen   bool
 	leaving     bool
 	heartbeatAt time.Time
+	evacuations balancerEvacuations
 }
 
 // agent is one agent and its endpoint; the agent process is down while controller is
@@ -91,6 +98,8 @@
 	// reportsSuppressed is set while no balancer receives the agent's load reports.
 	reportsSuppressed bool
 	endpoint          *endpoint
+	// round counts the rounds of load reports.
+	round int
 }
 
 // endpoint holds flows by key, with the endpoint's initial sequence number.
@@ -106,11 +115,15 @@
 
 // newDeployment creates a deployment that has otherEndpoints endpoints of another service
 // besides its own.
-func newDeployment(random *rand.Rand, otherEndpoints int) *deployment {
+func newDeployment(random *rand.Rand, otherEndpoints int, options ...func(*deployment)) *deployment {
 	d := &deployment{
 		clock:          clock.New(),
 		random:         random,
 		routedServices: map[string]bool{},
+		refusals:       map[router.Reason]int{},
+	}
+	for _, o := range options {
+		o(d)
 	}
 	d.clock.Run(time.UnixMilli(1000))
 	d.store.complete = true
@@ -222,7 +235,7 @@
 	b.recordWanted = false
 	b.members = roster.New(b.host)
 	b.record = roster.NewRecord(d.clock.Now())
-	b.router = router.New(b.host, 1, d.clock.Now(), b.members, &d.activePlan)
+	b.router = router.New(b.host, uint64(b.zone()), d.clock.Now(), b.members, &d.activePlan, b.startEvacuations()...)
 	b.receiveHeartbeats()
 	b.readRecord(true)
 }
@@ -231,7 +244,7 @@
 func (b *balancer) receiveHeartbeats() {
 	for _, o := range b.deployment.balancers {
 		if o != b && o.router != nil {
-			b.members.ApplyHeartbeat(b.deployment.clock.Now(), frame.Heartbeat{
+			b.receiveHeartbeat(o, frame.Heartbeat{
 				Host:      o.host,
 				Process:   1,
 				Leaving:   o.leaving,
@@ -249,6 +262,7 @@
 			b.receiveHeartbeats()
 		}
 		b.startRecordCalls()
+		b.pollEvacuations()
 	}
 	b.deployment.clock.After(tickInterval, b.tick)
 }
@@ -280,6 +294,7 @@
 		case router.ReadRecord:
 			b.recordWanted = true
 		case router.Refuse:
+			d.refusals[a.Reason]++
 			d.caller.receiveReset(a.Packet.Key, "refused: "+a.Reason.String(), true)
 		case router.Reset:
 			d.caller.receiveReset(a.Packet.Key, "reset: "+a.Reason.String(), false)
@@ -301,7 +316,7 @@
 func (s *agent) start() {
 	s.process++
 	s.sequence = 0
-	s.controller = admit.New(s.host, s.service, admit.NeedsRegistration())
+	s.controller = admit.New(s.host, s.service, append(s.followEvacuations(), admit.NeedsRegistration())...)
 	first := true
 	for _, b := range s.deployment.balancers {
 		if x := b.members.Agent(s.host); x != nil && first && s.process > 1 {
@@ -347,6 +362,7 @@
 }
 
 func (s *agent) sendLoadReports() {
+	s.round++
 	for _, b := range s.deployment.balancers {
 		s.sendLoadReport(b)
 	}
@@ -361,13 +377,14 @@
 	l := s.controller.Load(s.deployment.clock.Now())
 	l.Process = s.process
 	l.Sequence = s.sequence
-	l.Zone = 1
+	l.Zone = uint64(s.zone())
 	l.IntervalMS = uint16(loadReportInterval.Milliseconds())
 	registered := b.members.Registered(s.host)
 	b.members.ApplyReport(s.deployment.clock.Now(), l)
 	if l.WantsRegistration {
 		b.sendRegistration(s.host, registered)
 	}
+	b.answerEvacuations(s, l)
 }
 
 func (s *agent) step(e admit.Event) {
@@ -450,6 +467,9 @@
 		return
 	}
 	initial, hasFlow := e.flows[p.Key]
+	if p.Kind == link.Opening {
+		d.recordOpening(s)
+	}
 	switch {
 	case p.Kind == link.Opening && !hasFlow:
 		if e.drainReported {
--- a/internal/relay/fault/store_test.go
+++ b/internal/relay/fault/store_test.go
@@ -19,6 +19,8 @@
 	revision uint64
 	agents   []frame.Host
 	complete bool
+	// evacuations is used only if failure domains can be evacuated.
+	evacuations evacuationStore
 }
 
 // startRecordCalls makes the calls for the member record that are due.
