warm, admit, router, fault: cold endpoints that have not reported, scripts and load

An endpoint that crashed while it had nothing to do took a second's worth of SYNs as a warm one before its first report. It now counts as cold until it reports once it has been quiet for as long as a restart takes.

--- a/internal/relay/admit/endpoint.go
+++ b/internal/relay/admit/endpoint.go
@@ -186,6 +186,7 @@
 // markAlive records a packet from the endpoint.
 func (h *Controller) markAlive(now time.Time) {
 	e := &h.endpoint
+	h.recordAlive(now)
 	e.heardAt = now
 	if !e.silent && e.proven {
 		return
--- a/internal/relay/admit/evacuation.go
+++ b/internal/relay/admit/evacuation.go
@@ -141,6 +141,12 @@
 	}
 }
 
+func (h *Controller) recordAlive(now time.Time) {
+	if h.evacuation != nil {
+		h.evacuation.limiter.Alive(now)
+	}
+}
+
 func (h *Controller) reportWarmth(now, coldUntil time.Time) {
 	if h.evacuation != nil {
 		h.evacuation.limiter.Report(now, coldUntil)
@@ -172,10 +178,12 @@
 	Known     bool
 	Evacuated bool
 	Carried   bool
-	// Cold is set while the endpoint is cold or may be. ColdRate is the rate that it can then
+	// Cold is set while the endpoint is cold, MayBeCold also while it may have started anew
+	// without having reported. ColdRate is the rate that it can then
 	// serve, ColdLimit how many SYNs it gets in a second; 0 if there is no limit. Delivered is
 	// how many it got in the last second.
 	Cold      bool
+	MayBeCold bool
 	ColdRate  float64
 	ColdLimit int
 	Delivered int
@@ -193,6 +201,7 @@
 		Evacuated: v.follower.Evacuated(),
 		Carried:   v.follower.Carried(),
 		Cold:      v.limiter.Cold(now),
+		MayBeCold: v.limiter.MayBeCold(now),
 		ColdRate:  v.follower.ColdRate(),
 		Delivered: v.limiter.Delivered(),
 	}
--- a/internal/relay/admit/script_test.go
+++ b/internal/relay/admit/script_test.go
@@ -58,10 +58,19 @@
 	if strings.Contains(c.Name, "[unregistered]") {
 		options = append(options, admit.NeedsRegistration())
 	}
+	if strings.Contains(c.Name, "[evacuation]") {
+		options = append(options, followsEvacuations())
+	}
 	h := admit.New(self, service, options...)
 	for i := range c.Lines {
 		l := &c.Lines[i]
-		got := formatActions(h.Step(l.At, parseEvent(l)))
+		var e admit.Event
+		if l.Event == "evacuations" {
+			e = newEvacuations(h, l)
+		} else {
+			e = parseEvent(l)
+		}
+		got := formatActions(h.Step(l.At, e))
 		Expect(got).To(Equal(l.Want), fmt.Sprintf("%s:%d", c.File, l.Number))
 	}
 }
@@ -288,6 +297,8 @@
 		return "request"
 	case admit.RequestAnswered:
 		return "served"
+	case admit.EvacuationChanged:
+		return formatEvacuationChange(a)
 	case admit.ReportRefused:
 		return fmt.Sprintf("refuse report of %s", a.ID)
 	case admit.StateChanged:
--- a/internal/relay/agent/state.go
+++ b/internal/relay/agent/state.go
@@ -93,6 +93,7 @@
 			meter.Level{Name: "evacuations_known", Value: oneIf(e.Known)},
 			meter.Level{Name: "evacuated", Value: oneIf(e.Evacuated)},
 			meter.Level{Name: "cold", Value: oneIf(e.Cold)},
+			meter.Level{Name: "cold_unless_reported", Value: oneIf(e.MayBeCold)},
 			meter.Level{Name: "cold_limit", Value: float64(e.ColdLimit)},
 			meter.Level{Name: "openings_last_second", Value: float64(e.Delivered)},
 		)
@@ -133,9 +134,11 @@
 	// Carried reports that the failure domain is evacuated because it was so before the store
 	// came back from an older copy.
 	Carried bool `json:"kept_from_earlier_era"`
-	// Cold reports that the endpoint is cold, or may be. ColdRate is the requests per second that
-	// it can then serve, ColdLimit the new flows that it gets in a second, 0 for no limit.
+	// Cold reports that the endpoint is cold, MayBeCold that it is or may have started anew without
+	// having reported. ColdRate is the requests per second that it can then serve, ColdLimit the
+	// new flows that it gets in a second, 0 for no limit.
 	Cold      bool    `json:"cold"`
+	MayBeCold bool    `json:"cold_unless_reported"`
 	ColdRate  float64 `json:"cold_per_second"`
 	ColdLimit int     `json:"cold_limit"`
 	// Delivered is the number of new flows that it got in the last second.
@@ -167,6 +170,7 @@
 			Evacuated: e.Evacuated,
 			Carried:   e.Carried,
 			Cold:      e.Cold,
+			MayBeCold: e.MayBeCold,
 			ColdRate:  e.ColdRate,
 			ColdLimit: e.ColdLimit,
 			Delivered: e.Delivered,
--- a/internal/relay/fault/deployment_test.go
+++ b/internal/relay/fault/deployment_test.go
@@ -111,6 +111,10 @@
 	// paused is set while packets are left unread.
 	paused bool
 	flows  map[link.Key]uint32
+	// coldUntil is when the endpoint is warm, openings are the times of the SYNs that it got
+	// before.
+	coldUntil time.Time
+	openings  []time.Time
 }
 
 // newDeployment creates a deployment that has otherEndpoints endpoints of another service
@@ -356,6 +360,7 @@
 			Sequence:  s.endpoint.reportSequence,
 			Slots:     5,
 			Draining:  s.endpoint.draining,
+			ColdUntil: s.endpoint.coldUntil,
 		},
 	})
 	s.endpoint.drainReported = s.endpoint.draining
--- a/internal/relay/fault/evacuation_test.go
+++ b/internal/relay/fault/evacuation_test.go
@@ -14,7 +14,6 @@
 	"github.com/clementinewing/clementinewing/internal/relay/plan"
 	"github.com/clementinewing/clementinewing/internal/relay/roster"
 	"github.com/clementinewing/clementinewing/internal/relay/router"
-	"github.com/clementinewing/clementinewing/internal/relay/warm"
 	"github.com/clementinewing/clementinewing/internal/world/link"
 )
 
@@ -83,9 +82,7 @@
 		return nil
 	}
 	return []admit.Option{
-		admit.FollowsEvacuations(s.zone(), s.process<<32|uint64(s.host), warm.Limits{
-			Overage: 1,
-		}),
+		admit.FollowsEvacuations(s.zone(), s.process<<32|uint64(s.host), coldLimits),
 	}
 }
 
@@ -94,6 +91,7 @@
 	if !d.evacuates {
 		return
 	}
+	s.recordColdOpening()
 	e := &d.store.evacuations
 	e.taken[s.zone()]++
 	at, evacuated := e.since[s.zone()]
@@ -212,6 +210,7 @@
 	now := d.clock.Now()
 	answer, ok := b.evacuations.source.Answer(now, evac.Question{
 		Reported:    l.Evacuations,
+		ColdRate:    coldRate,
 		PlanVersion: d.activePlan.Version(),
 		AskedAt:     b.evacuations.polls.LastPoll(),
 		HearsMost:   b.members.HearsMost(now, b.evacuations.source.BacklogUntil()),
--- a/internal/relay/fault/matrix_test.go
+++ b/internal/relay/fault/matrix_test.go
@@ -343,6 +343,10 @@
 	s.endpoint = nil
 	s.deployment.clock.After(restartDelay, func() {
 		s.endpoint = newEndpoint(born)
+		if s.deployment.evacuates {
+			s.startCold()
+			return
+		}
 		s.sendReport()
 	})
 }
--- a/internal/relay/router/script_test.go
+++ b/internal/relay/router/script_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/clementinewing/clementinewing/internal/fake/script"
+	"github.com/clementinewing/clementinewing/internal/relay/evac"
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/relay/plan"
 	"github.com/clementinewing/clementinewing/internal/relay/roster"
@@ -57,6 +58,8 @@
 	active  *plan.Active
 	router  *router.Router
 	reports uint32
+	// evacuations is nil unless the case evacuates failure domains.
+	evacuations *evac.Set
 }
 
 func runCase(c script.Case) {
@@ -64,7 +67,12 @@
 		members: roster.New(self),
 		active:  &plan.Active{},
 	}
-	w.router = router.New(self, 1, time.UnixMilli(0).UTC(), w.members, w.active)
+	var options []router.Option
+	if strings.Contains(c.Name, "[evacuation]") {
+		w.evacuations = &evac.Set{}
+		options = append(options, router.WithEvacuations(w.evacuations))
+	}
+	w.router = router.New(self, 1, time.UnixMilli(0).UTC(), w.members, w.active, options...)
 	for i := range c.Lines {
 		l := &c.Lines[i]
 		Expect(formatActions(w.step(l))).To(Equal(l.Want), fmt.Sprintf("%s:%d", c.File, l.Number))
@@ -76,6 +84,16 @@
 	case "plan":
 		w.active.Adopt(newPlan(l))
 		return nil
+	case "evacuate":
+		var zones []evac.Zone
+		for _, n := range l.Ints("zones") {
+			zones = append(zones, evac.Zone(n))
+		}
+		w.evacuations.Observe(plan.Position{
+			Era:      1,
+			Revision: uint64(l.At.UnixMilli()) + 1,
+		}, zones)
+		return nil
 	case "loads":
 		// Reports of count agents, from host 1 on.
 		for i := range l.Int("count", 0) {
@@ -155,6 +173,7 @@
 				Conclusive:    l.Has("sure"),
 				ListExhausted: l.Event != "denied",
 				FlowEnded:     l.Has("ended"),
+				Evacuated:     l.Has("evacuated"),
 				LookupStage:   stage,
 				Packet:        []byte("packet"),
 			},
@@ -264,6 +283,7 @@
 
 		WantsRegistration: l.Has("registers"),
 		EndpointAbsent:    l.Has("absent"),
+		Evacuations:       uint64(l.Int("asks", 0)) << 63,
 	}
 }
 
--- a/internal/relay/warm/warm.go
+++ b/internal/relay/warm/warm.go
@@ -17,6 +17,8 @@
 	// failure domain is in use again: some rounds of load reports, after which balancers place
 	// by its real load.
 	rampPeriod = 2 * time.Second
+	// minRestartTime is the least time that an endpoint is away when it starts anew.
+	minRestartTime = 150 * time.Millisecond
 	// firstShare is the share of its capacity that an endpoint gets at the start of the ramp.
 	firstShare = 0.1
 )
@@ -45,6 +47,8 @@
 	// started anew since the last one.
 	coldUntil  time.Time
 	unreported bool
+	// aliveAt is when the endpoint last showed that it runs.
+	aliveAt time.Time
 	// rampUntil is when the ramp of the share ends.
 	rampUntil time.Time
 }
@@ -67,6 +71,11 @@
 		w.StartRamp(w.coldUntil)
 		w.coldUntil = time.Time{}
 	}
+	if now.Sub(w.aliveAt) > minRestartTime {
+		// An endpoint that shows nothing for that long may have started anew without anybody
+		// having noticed.
+		w.unreported = true
+	}
 	kept := 0
 	for kept < len(w.delivered) && now.Sub(w.delivered[kept]) > window {
 		kept++
@@ -82,12 +91,18 @@
 // Report records a report of the endpoint, which tells until when the endpoint is cold.
 func (w *Limiter) Report(now, coldUntil time.Time) {
 	w.unreported = false
+	w.aliveAt = now
 	w.coldUntil = time.Time{}
 	if now.Before(coldUntil) {
 		w.coldUntil = coldUntil
 	}
 }
 
+// Alive records a packet of the endpoint. Run was called for the same time.
+func (w *Limiter) Alive(now time.Time) {
+	w.aliveAt = now
+}
+
 // Suspect records that another incarnation of the endpoint may have started, which is cold and
 // has not reported yet.
 func (w *Limiter) Suspect() {
@@ -106,9 +121,14 @@
 	w.delivered = append(w.delivered, now)
 }
 
-// Cold reports whether the endpoint is cold, or may be.
+// Cold reports whether the endpoint was cold at its last report and still is.
 func (w *Limiter) Cold(now time.Time) bool {
-	return w.unreported || now.Before(w.coldUntil)
+	return now.Before(w.coldUntil)
+}
+
+// MayBeCold reports whether the endpoint is cold, or may be because its last report is missing.
+func (w *Limiter) MayBeCold(now time.Time) bool {
+	return w.unreported || w.Cold(now)
 }
 
 // Delivered returns the number of SYNs in the window.
@@ -130,7 +150,7 @@
 // Wait returns how long a SYN has to wait until a cold endpoint may get it, behind a number of
 // others.
 func (w *Limiter) Wait(now time.Time, ahead int) time.Duration {
-	if w.rate <= 0 || !w.Cold(now) {
+	if w.rate <= 0 || !w.MayBeCold(now) {
 		return 0
 	}
 	wait := max(0, w.fullUntil.Sub(now))
--- a/internal/relay/warm/warm_test.go
+++ b/internal/relay/warm/warm_test.go
@@ -113,6 +113,9 @@
 	case "suspect":
 		w.Suspect()
 		return ""
+	case "alive":
+		w.Alive(l.At)
+		return ""
 	case "syns":
 		got := 0
 		for range l.Int("n", 0) {
