--- a/internal/relay/entry/entry.go
+++ b/internal/relay/entry/entry.go
@@ -130,7 +130,7 @@
 	b.router = router.New(b.self, xxhash.Sum64String(s.Zone), now, b.members, &b.activePlan, router.WithFeatures(place.Features{
 		Even:     s.Features.EvenPlacement,
 		Outliers: s.Features.OutlierDetection,
-	}), router.WithEvacuations(b.evacuations.set()))
+	}), router.WithEvacuations(b.evacuations.source))
 	if b.callers, err = listen(s.Callers); err != nil {
 		return nil, err
 	}
--- a/internal/relay/entry/evacuation.go
+++ b/internal/relay/entry/evacuation.go
@@ -31,14 +31,6 @@
 	return e
 }
 
-// set returns the set, or nil if the deployment does not evacuate failure domains.
-func (e *evacuations) set() *evac.Set {
-	if e.source == nil {
-		return nil
-	}
-	return &e.source.Set
-}
-
 func (e *evacuations) run(now time.Time) {
 	if e.source != nil {
 		e.source.Run(now)
--- a/internal/relay/entry/state.go
+++ b/internal/relay/entry/state.go
@@ -87,13 +87,12 @@
 		{Name: "store_answer_age_seconds", Value: b.storeAge().Seconds()},
 		{Name: "store_era", Value: float64(b.position.Latest().Era)},
 		{Name: "store_revision", Value: float64(b.position.Latest().Revision)},
-		{Name: "evacuated_zones", Value: float64(len(b.evacuations.set().Zones()))},
 	}
 	if b.evacuations.source != nil {
-		s.Levels = append(s.Levels, meter.Level{
-			Name:  "evacuations_known",
-			Value: oneIf(b.evacuations.source.Known()),
-		})
+		s.Levels = append(s.Levels,
+			meter.Level{Name: "evacuations_known", Value: oneIf(b.evacuations.source.Known())},
+			meter.Level{Name: "evacuated_zones", Value: float64(len(b.evacuations.source.Zones()))},
+		)
 	}
 	return s
 }
@@ -181,7 +180,7 @@
 			Silent:  x.Silent(now),
 
 			Registered: b.members.Registered(h),
-			Evacuated:  b.evacuations.set().Evacuated(evac.Zone(x.Zone)),
+			Evacuated:  b.evacuations.source.Evacuated(evac.Zone(x.Zone)),
 		})
 	}
 	s.Evacuations = b.evacuations.state()
--- a/internal/relay/evac/source.go
+++ b/internal/relay/evac/source.go
@@ -31,6 +31,32 @@
 	// are taken for old ones.
 	lastRunAt    time.Time
 	backlogUntil time.Time
+	// releasedAt is when the evacuation of a failure domain was last found to be withdrawn.
+	releasedAt map[Zone]time.Time
+}
+
+// Evacuated reports whether a failure domain is evacuated. It is false for all without a source.
+func (s *Source) Evacuated(z Zone) bool {
+	return s != nil && s.Set.Evacuated(z)
+}
+
+// ReleasedAt returns when the evacuation of a failure domain was last found to be withdrawn, or
+// zero.
+func (s *Source) ReleasedAt(z Zone) time.Time {
+	return s.releasedAt[z]
+}
+
+// recordReleases records which failure domains are no longer evacuated.
+func (s *Source) recordReleases(before []Zone) {
+	for _, z := range before {
+		if s.Evacuated(z) {
+			continue
+		}
+		if s.releasedAt == nil {
+			s.releasedAt = map[Zone]time.Time{}
+		}
+		s.releasedAt[z] = s.lastRunAt
+	}
 }
 
 // Run is called before each event. It notices when the balancer has not run for a while.
@@ -50,13 +76,19 @@
 // Observe merges a set that was read from the store. See Set.
 func (s *Source) Observe(p plan.Position, listed []Zone) (changed bool) {
 	s.told = nil
-	return s.Set.Observe(p, listed)
+	before := s.Zones()
+	changed = s.Set.Observe(p, listed)
+	s.recordReleases(before)
+	return changed
 }
 
 // Merge merges the set of another balancer. See Set.
 func (s *Source) Merge(f *frame.EvacuationSet) (changed bool) {
 	s.told = nil
-	return s.Set.Merge(f)
+	before := s.Zones()
+	changed = s.Set.Merge(f)
+	s.recordReleases(before)
+	return changed
 }
 
 // Told returns the set for other processes, or nil if it is not known.
--- a/internal/relay/fault/evacuation_test.go
+++ b/internal/relay/fault/evacuation_test.go
@@ -125,7 +125,7 @@
 	b.evacuations.source = &evac.Source{}
 	b.evacuations.polls = plan.PollSchedule{}
 	return []router.Option{
-		router.WithEvacuations(&b.evacuations.source.Set),
+		router.WithEvacuations(b.evacuations.source),
 	}
 }
 
--- a/internal/relay/place/place.go
+++ b/internal/relay/place/place.go
@@ -67,7 +67,10 @@
 	Exclude []frame.Host
 	// Evacuations holds the evacuated failure domains, or is nil. Their endpoints get no new
 	// flow.
-	Evacuations *evac.Set
+	Evacuations *evac.Source
+	// ColdRate is how many requests per second a cold endpoint of the service can serve; 0 means
+	// no limit.
+	ColdRate float64
 	Features
 }
 
@@ -92,6 +95,7 @@
 		}
 	}
 	slices.SortFunc(candidates, func(a, b scoredAgent) int { return cmp.Compare(a.cost, b.cost) })
+	candidates = q.reducedLast(candidates)
 	candidates = candidates[:min(len(candidates), maxFlowCandidates)]
 	list = make([]frame.Host, len(candidates))
 	for i := range candidates {
--- a/internal/relay/roster/agent.go
+++ b/internal/relay/roster/agent.go
@@ -12,6 +12,8 @@
 	frame.LoadReport
 	HeardAt   time.Time
 	ColdUntil time.Time
+	// WarmAt is when the endpoint warms up or has warmed up; zero if it was never seen cold.
+	WarmAt time.Time
 	// SentSinceReport counts the SYNs sent to the agent since its last report.
 	SentSinceReport int
 	// Unanswered counts the SYNs that the agent has left unanswered since it was last heard.
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -128,6 +128,9 @@
 	s.LoadReport = l
 	s.HeardAt = now
 	s.ColdUntil = now.Add(time.Duration(l.ColdMS) * time.Millisecond)
+	if l.ColdMS > 0 {
+		s.WarmAt = s.ColdUntil
+	}
 	s.SentSinceReport = 0
 	s.Unanswered = 0
 	if moved {
--- a/internal/relay/router/evacuation.go
+++ b/internal/relay/router/evacuation.go
@@ -14,13 +14,19 @@
 )
 
 // WithEvacuations sets the evacuated failure domains, whose endpoints get no new flow. The caller
-// changes the set between two steps.
-func WithEvacuations(s *evac.Set) Option {
+// changes them between two steps.
+func WithEvacuations(s *evac.Source) Option {
 	return func(g *Router) {
 		g.evacuations = s
 	}
 }
 
+// coldRate returns how many requests per second a cold endpoint of a service can serve; 0 means no
+// limit.
+func (g *Router) coldRate(service spec.ServiceID) float64 {
+	return g.active.Current().Services[service].ColdRate
+}
+
 // onlyEvacuated reports whether the endpoints of a service that accept new flows are all in
 // evacuated failure domains, and there is one.
 func (g *Router) onlyEvacuated(now time.Time, service spec.ServiceID) bool {
@@ -78,6 +84,7 @@
 		Zone:        g.zone,
 		Agents:      agents,
 		Evacuations: g.evacuations,
+		ColdRate:    g.coldRate(x.service),
 		Features:    g.features,
 	})
 	if len(list) == 0 {
--- a/internal/relay/router/open.go
+++ b/internal/relay/router/open.go
@@ -72,6 +72,7 @@
 		Zone:        g.zone,
 		Agents:      g.members.ServiceAgents(service),
 		Evacuations: g.evacuations,
+		ColdRate:    g.coldRate(service),
 		Features:    g.features,
 	})
 	if len(list) == 0 {
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -198,7 +198,7 @@
 	actions []Action
 
 	features    place.Features
-	evacuations *evac.Set
+	evacuations *evac.Source
 }
 
 // Option sets one property of a Router.
--- a/internal/relay/router/script_test.go
+++ b/internal/relay/router/script_test.go
@@ -59,7 +59,7 @@
 	router  *router.Router
 	reports uint32
 	// evacuations is nil unless the case evacuates failure domains.
-	evacuations *evac.Set
+	evacuations *evac.Source
 }
 
 func runCase(c script.Case) {
@@ -69,7 +69,7 @@
 	}
 	var options []router.Option
 	if strings.Contains(c.Name, "[evacuation]") {
-		w.evacuations = &evac.Set{}
+		w.evacuations = &evac.Source{}
 		options = append(options, router.WithEvacuations(w.evacuations))
 	}
 	w.router = router.New(self, 1, time.UnixMilli(0).UTC(), w.members, w.active, options...)
