--- a/internal/relay/place/place.go
+++ b/internal/relay/place/place.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/flow/rank"
+	"github.com/clementinewing/clementinewing/internal/relay/evac"
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/relay/roster"
 	"github.com/clementinewing/clementinewing/internal/world/node"
@@ -64,6 +65,12 @@
 	Agents []*roster.Agent
 	// Exclude holds endpoints that have already refused the flow.
 	Exclude []frame.Host
+	// Evacuations holds the evacuated failure domains, or is nil. Their endpoints get no new
+	// flow.
+	Evacuations *evac.Source
+	// ColdRate is how many requests per second a cold endpoint of the service can serve; 0 means
+	// no limit.
+	ColdRate float64
 	Features
 }
 
@@ -80,7 +87,7 @@
 func FlowCandidates(q *Request) (list []frame.Host) {
 	candidates := make([]scoredAgent, 0, len(q.Agents))
 	for _, s := range q.Agents {
-		if s.AcceptsFlows(q.Now) && !slices.Contains(q.Exclude, s.Host) {
+		if s.AcceptsFlows(q.Now) && !q.Evacuations.Evacuated(evac.Zone(s.Zone)) && !slices.Contains(q.Exclude, s.Host) {
 			candidates = append(candidates, scoredAgent{
 				agent: s,
 				cost:  PlacementCost(q.Now, q.Zone, s) + maxRandomCost*hashFraction(q.Hash, s.Host),
@@ -88,6 +95,7 @@
 		}
 	}
 	slices.SortFunc(candidates, func(a, b scoredAgent) int { return cmp.Compare(a.cost, b.cost) })
+	candidates = q.reducedLast(candidates)
 	candidates = candidates[:min(len(candidates), maxFlowCandidates)]
 	list = make([]frame.Host, len(candidates))
 	for i := range candidates {
