health, admit, place, router: ask endpoints that are not known to serve last

An endpoint that had died behind a live agent had nothing in use, so that every balancer ranked it first. Eight of them filled the candidate lists of all balancers, and callers were refused while other endpoints had free slots. The agent noticed a refusal for 60 ms only and told nobody, a bounced packet counted as a sign of life, and missing reports counted for nothing.

An agent now takes its endpoint for a suspect when it has refused or ignored two SYNs in a row without being full, or when its reports have stopped and it has served nothing for a second. It tells balancers at once and tries one SYN at a time, after a backoff of 60 ms to 960 ms. An accepted SYN or another incarnation ends the suspicion; what the endpoint may have in use then doubles with each accepted SYN. Balancers rank suspects last, unless no endpoint is known to serve, and offer one SYN to a suspect now and then. A SYN that all its candidates refused is offered to endpoints that have not been asked, in up to two further lists. While most endpoints of a service are suspects, the shortest backoff applies.

--- a/internal/relay/admit/controller.go
+++ b/internal/relay/admit/controller.go
@@ -170,7 +170,7 @@
 
 // Action is Deliver, ForwardToCandidate, ReturnToBalancer, AnnounceOwner, DenyOwnership,
 // RequestQueued, RequestAbandoned, SendToCaller, FlowAccepted, RequestStarted,
-// RequestAnswered, ReportRefused or StateChanged.
+// RequestAnswered, ReportRefused, StateChanged or SuspicionChanged.
 type Action interface{ action() }
 
 // Deliver sends a packet to the endpoint. The packet comes back with Mark if it bounces.
@@ -406,6 +406,7 @@
 		h.handleTick(now)
 	}
 	h.serveQueue(now)
+	h.checkSuspicion(now)
 	return h.actions
 }
 
@@ -435,6 +436,8 @@
 		Average:   uint16(min(h.averageLoad*roster.LoadUnit, 0xffff)),
 		Flows:     uint16(min(h.openFlows, 0xffff)),
 		ColdMS:    uint16(max(0, min(e.coldUntil.Sub(now).Milliseconds(), 0xffff))),
+
+		Refusals: uint16(min(e.health.Refusals(now), 0xffff)),
 	}
 }
 
@@ -466,6 +469,7 @@
 }
 
 func (h *Controller) handleTick(now time.Time) {
+	h.endpoint.health.Tick(now)
 	h.checkRegistration(now)
 	h.expireDeliveries(now)
 	h.expireAcceptedOpenings(now)
--- a/internal/relay/admit/delivery.go
+++ b/internal/relay/admit/delivery.go
@@ -128,6 +128,7 @@
 	f.setRoute(c)
 	h.setPhase(f, phaseOpening)
 	h.flows[p.Key] = f
+	h.endpoint.health.Opened(now)
 	h.deliverToEndpoint(now, p, c, deliverOpening)
 }
 
@@ -143,8 +144,10 @@
 		return Leaving, true
 	case e.state() != node.Serving:
 		return NotServing, true
-	case now.Before(e.refusedUntil):
+	case e.health.Refuses(now, c.Flags&frame.FewServing != 0):
 		return EndpointRefused, true
+	case e.health.Probing(now):
+		return Suspect, true
 	case len(h.flows) >= maxFlows:
 		return TableFull, true
 	case !e.proven && h.inUse > 0:
@@ -169,9 +172,9 @@
 
 // openingCapacity is how many requests and accepted SYNs the endpoint may have in use at
 // once: one more than its slots. A caller's request arrives one round trip after the SYN
-// is answered, and the slot would be idle meanwhile.
+// is answered, and the slot would be idle meanwhile. A suspect that is back starts with less.
 func (h *Controller) openingCapacity() int {
-	return int(h.endpoint.slots) + 1
+	return h.endpoint.health.Limit(int(h.endpoint.slots) + 1)
 }
 
 // recordLeastLoaded records this candidate in the packet's header if it is the least
@@ -255,7 +258,7 @@
 
 // handleBounce handles a packet that the endpoint did not accept.
 func (h *Controller) handleBounce(now time.Time, b PacketBounced) {
-	h.markAlive(now)
+	h.markReached(now)
 	m := &h.deliveries[b.Mark%maxDeliveries]
 	if m.number != b.Mark || m.purpose == 0 || m.key != b.Packet.Key {
 		return
@@ -315,14 +318,14 @@
 		}
 		h.timedMarks = h.timedMarks[1:]
 		if live {
-			h.expireDelivery(m)
+			h.expireDelivery(now, m)
 		}
 	}
 	h.timedMarks = nil
 }
 
 // expireDelivery asks the next candidate in place of a silent endpoint.
-func (h *Controller) expireDelivery(m *delivery) {
+func (h *Controller) expireDelivery(now time.Time, m *delivery) {
 	purpose := m.purpose
 	m.purpose = 0
 	f, ok := h.flows[m.key]
@@ -334,7 +337,7 @@
 		}
 		h.setPhase(f, phaseIdle)
 		delete(h.flows, m.key)
-		h.markSilent(OpeningUnanswered)
+		h.markSilent(now, OpeningUnanswered)
 		h.retryOpening(m.packet, c, OpeningUnanswered)
 		return
 	}
--- a/internal/relay/admit/endpoint.go
+++ b/internal/relay/admit/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/clementinewing/clementinewing/internal/relay/health"
 	"github.com/clementinewing/clementinewing/internal/world/node"
 )
 
@@ -27,17 +28,18 @@
 	// leaving is set when this process is about to stop.
 	leaving bool
 	// proven is set once anything has arrived from the endpoint in this process's
-	// lifetime.
+	// lifetime, except packets that it did not accept.
 	proven bool
 	// heardAt is when the last packet arrived from the endpoint.
 	heardAt time.Time
 	// silent is set when the endpoint has left a SYN unanswered since its last sign of
 	// life.
 	silent bool
-	// refusedOpening is set when the endpoint refused a SYN before its first report. Any
-	// endpoint that refused a SYN gets no other before refusedUntil.
+	// refusedOpening is set when the endpoint refused a SYN before its first report.
 	refusedOpening bool
-	refusedUntil   time.Time
+	// health tells whether the endpoint serves; suspect is what was last told of it.
+	health  health.Endpoint
+	suspect bool
 	// awaitsReport is set when the endpoint gets no flow before its first report.
 	awaitsReport bool
 	// registered is set once the member record is known to list this agent. Until then the
@@ -85,6 +87,33 @@
 	return e.absentAtStart && !e.proven
 }
 
+// SuspicionChanged reports whether the endpoint has become a suspect, which is not known to
+// serve, or has ceased to be one.
+type SuspicionChanged struct {
+	Suspect bool
+	// Refusals is as in frame.LoadReport. ReportsMissed is set if the endpoint's reports have
+	// stopped.
+	Refusals      int
+	ReportsMissed bool
+}
+
+func (SuspicionChanged) action() {}
+
+// checkSuspicion emits a change of the suspicion.
+func (h *Controller) checkSuspicion(now time.Time) {
+	e := &h.endpoint
+	suspect := e.health.Suspect(now) && !e.gone
+	if suspect == e.suspect {
+		return
+	}
+	e.suspect = suspect
+	h.emit(SuspicionChanged{
+		Suspect:       suspect,
+		Refusals:      e.health.Refusals(now),
+		ReportsMissed: e.health.ReportsMissed(now),
+	})
+}
+
 func (h *Controller) emitStateChange(before node.State, reason Reason) {
 	if after := h.endpoint.state(); after != before {
 		h.emit(StateChanged{
@@ -126,14 +155,10 @@
 	}
 }
 
-// refusalBackoff is how long an endpoint that refused a SYN gets no other: the endpoint
-// is full for about the duration of one request.
-const refusalBackoff = 60 * time.Millisecond
-
 // recordRefusal records that the endpoint refused a SYN.
 func (h *Controller) recordRefusal(now time.Time) {
 	e := &h.endpoint
-	e.refusedUntil = now.Add(refusalBackoff)
+	e.health.Refused(now, h.inUse)
 	if e.reported {
 		return
 	}
@@ -171,14 +196,24 @@
 	h.emitStateChange(before, BalancerMemory)
 }
 
-func (h *Controller) markSilent(reason Reason) {
+func (h *Controller) markSilent(now time.Time, reason Reason) {
 	e := &h.endpoint
+	e.health.Unanswered(now, h.inUse)
 	before := e.state()
 	e.silent = true
 	h.emitStateChange(before, reason)
 }
 
-// markAlive records a packet from the endpoint.
+// markReached records that the endpoint bounced a packet. It runs, but may not serve.
+func (h *Controller) markReached(now time.Time) {
+	e := &h.endpoint
+	before := e.state()
+	e.heardAt = now
+	e.silent = false
+	h.emitStateChange(before, EndpointAnswer)
+}
+
+// markAlive records a packet that the endpoint sent for a flow.
 func (h *Controller) markAlive(now time.Time) {
 	e := &h.endpoint
 	e.heardAt = now
--- a/internal/relay/admit/flow.go
+++ b/internal/relay/admit/flow.go
@@ -192,6 +192,7 @@
 	}
 	if p.Payload > 0 && f.phase != phaseIdle {
 		if f.phase == phaseBusy {
+			h.endpoint.health.Answered(now)
 			h.recordServiceTime(now.Sub(f.phaseAt))
 			h.emit(RequestAnswered{
 				Key:     p.Key,
@@ -248,6 +249,7 @@
 		return
 	}
 	h.endpoint.refusedOpening = false
+	h.endpoint.health.Accepted(now, int(h.endpoint.slots))
 	f.initialKnown = true
 	f.initial = p.Sequence
 	f.highest = p.Sequence + 1
--- a/internal/relay/admit/reason.go
+++ b/internal/relay/admit/reason.go
@@ -56,6 +56,8 @@
 	Registered
 	// Unregistered: no balancer can register this agent, which serves all the same.
 	Unregistered
+	// Suspect: the endpoint is not known to serve, and one SYN is already pending.
+	Suspect
 
 	reasonCount
 )
@@ -85,6 +87,7 @@
 	FlowEnded:         "flow_ended",
 	Registered:        "registered",
 	Unregistered:      "unregistered",
+	Suspect:           "suspect",
 }
 
 // Reasons returns all reasons.
--- a/internal/relay/admit/report.go
+++ b/internal/relay/admit/report.go
@@ -60,7 +60,7 @@
 		})
 		return
 	case !runs:
-		h.startIncarnation(x)
+		h.startIncarnation(now, x)
 	}
 	if e.gone {
 		h.awaitRegistration(now)
@@ -77,6 +77,7 @@
 	e.refusedOpening = false
 	e.claim = claim{}
 	e.claimableAt = now.Add(2*e.reportInterval + reportTimeout)
+	e.health.Reported(now, e.claimableAt)
 	h.service = spec.NewServiceID(r.Service)
 	h.emitStateChange(before, EndpointReport)
 }
@@ -107,7 +108,7 @@
 }
 
 // startIncarnation resets the state for another incarnation of the endpoint.
-func (h *Controller) startIncarnation(x incarnation) {
+func (h *Controller) startIncarnation(now time.Time, x incarnation) {
 	e := &h.endpoint
 	if e.reported {
 		h.markFlowsUnverified()
@@ -117,7 +118,7 @@
 	}
 	e.incarnation = x
 	e.sequence = 0
-	e.refusedUntil = time.Time{}
+	e.health.Started(now)
 }
 
 // handleEndpointStopped applies the endpoint's notice that it stops. Before the first report
--- a/internal/relay/admit/script_test.go
+++ b/internal/relay/admit/script_test.go
@@ -292,6 +292,15 @@
 		return fmt.Sprintf("refuse report of %s", a.ID)
 	case admit.StateChanged:
 		return fmt.Sprintf("now %s, %s", a.State, a.Reason)
+	case admit.SuspicionChanged:
+		switch {
+		case !a.Suspect:
+			return "no suspect"
+		case a.ReportsMissed:
+			return "suspect, reports missed"
+		default:
+			return fmt.Sprintf("suspect, %d refusals", a.Refusals)
+		}
 	default:
 		panic("unknown action")
 	}
--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -58,6 +58,10 @@
 	controller *admit.Controller
 	balancers  *roster.Contacts
 	sequence   uint32
+	// reportAt is when the next regular load reports are due, suspicionAt from when on a change
+	// of the suspicion may be sent before.
+	reportAt    time.Time
+	suspicionAt time.Time
 	// joined is set by the first member list from a balancer.
 	joined        bool
 	storeLost     bool
--- a/internal/relay/agent/fleet.go
+++ b/internal/relay/agent/fleet.go
@@ -148,10 +148,15 @@
 	a.sendReports(time.Now(), false)
 }
 
+// sendRegularReports sends load reports and sets the time of the next ones.
+func (a *Agent) sendRegularReports(now time.Time) {
+	a.reportAt = now.Add(roster.ReportInterval(len(a.balancers.Hosts())))
+	a.sendReports(now, false)
+}
+
 func (a *Agent) runTicker(ctx context.Context) {
 	ticker := time.NewTicker(admit.TickInterval)
 	defer ticker.Stop()
-	var reportAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -161,9 +166,8 @@
 		now := time.Now()
 		a.mutex.Lock()
 		a.execute(a.controller.Step(now, admit.Tick{}))
-		if now.After(reportAt) {
-			reportAt = now.Add(roster.ReportInterval(len(a.balancers.Hosts())))
-			a.sendReports(now, false)
+		if now.After(a.reportAt) {
+			a.sendRegularReports(now)
 		}
 		a.mutex.Unlock()
 	}
--- a/internal/relay/agent/packets.go
+++ b/internal/relay/agent/packets.go
@@ -173,12 +173,10 @@
 			a.recordLatency(LatencyRequest, x.Latency)
 		case admit.ReportRefused:
 			a.recordReportRefused(x)
+		case admit.SuspicionChanged:
+			a.applySuspicion(x)
 		case admit.StateChanged:
-			a.logStateChange(x)
-			a.sendReportsNow()
-			if x.Reason == admit.OpeningUnanswered || x.Reason == admit.EndpointRefused {
-				go a.probeEndpoint()
-			}
+			a.applyStateChange(x)
 		}
 	}
 }
--- a/internal/relay/agent/state.go
+++ b/internal/relay/agent/state.go
@@ -5,6 +5,7 @@
 
 	"github.com/clementinewing/clementinewing/internal/edge/meter"
 	"github.com/clementinewing/clementinewing/internal/relay/admit"
+	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/world/node"
 )
 
@@ -42,6 +43,7 @@
 	// reportsRefused counts reports and notices that were not acknowledged.
 	reportsRefused uint64
 	probes         uint64
+	suspicions     uint64
 	malformed      uint64
 	sendErrors     uint64
 	storeCalls     uint64
@@ -67,6 +69,7 @@
 		{Name: "endpoint_reports", Value: c.reports},
 		{Name: "endpoint_reports_refused", Value: c.reportsRefused},
 		{Name: "endpoint_probes", Value: c.probes},
+		{Name: "endpoint_suspicions", Value: c.suspicions},
 		{Name: "malformed", Value: c.malformed},
 		{Name: "send_errors", Value: c.sendErrors},
 		{Name: "store_calls", Value: c.storeCalls},
@@ -82,6 +85,7 @@
 	s.Levels = []meter.Level{
 		{Name: "in_use", Value: float64(a.controller.InUse())},
 		{Name: "flows", Value: float64(a.controller.Flows())},
+		{Name: "endpoint_refusals", Value: float64(a.controller.Load(time.Now()).Refusals)},
 		{Name: "balancers", Value: float64(len(a.balancers.Hosts()))},
 	}
 	return s
@@ -98,8 +102,12 @@
 	// SawAllFlows reports whether the endpoint holds no flow that the agent does not know.
 	SawAllFlows bool `json:"saw_all_flows"`
 	// Registered reports whether the member record lists the agent, as far as it knows.
-	Registered bool     `json:"registered"`
-	Balancers  []string `json:"balancers"`
+	Registered bool `json:"registered"`
+	// Refusals is as in frame.LoadReport. Suspect reports whether the endpoint is not known to
+	// serve.
+	Refusals  uint16   `json:"refusals"`
+	Suspect   bool     `json:"suspect"`
+	Balancers []string `json:"balancers"`
 }
 
 // State returns the agent's current state.
@@ -117,6 +125,8 @@
 
 		SawAllFlows: a.controller.SawAllFlows(),
 		Registered:  l.Registered,
+		Refusals:    l.Refusals,
+		Suspect:     l.Refusals >= frame.SuspectRefusals,
 	}
 	for _, h := range a.balancers.Hosts() {
 		s.Balancers = append(s.Balancers, h.String())
--- a/internal/relay/entry/state.go
+++ b/internal/relay/entry/state.go
@@ -71,12 +71,19 @@
 			meter.Total{Name: "packets_dropped", Reason: r.String(), Value: c.dropped[r]},
 		)
 	}
+	suspects := 0
+	for _, x := range b.members.Agents() {
+		if x.Suspect() && x.AcceptsFlows(time.Now()) {
+			suspects++
+		}
+	}
 	unreachable := 0.0
 	if _, found := b.members.Unreachable(time.Now()); found {
 		unreachable = 1
 	}
 	s.Levels = []meter.Level{
 		{Name: "members_unreachable", Value: unreachable},
+		{Name: "suspect_endpoints", Value: float64(suspects)},
 		{Name: "flows", Value: float64(b.router.Flows())},
 		{Name: "side_processes", Value: float64(len(b.members.PresentAgents()))},
 		{Name: "balancers", Value: float64(len(b.members.Balancers()))},
@@ -117,6 +124,10 @@
 	InUse   uint16  `json:"in_use"`
 	Average float64 `json:"average"`
 	Silent  bool    `json:"silent"`
+	// Refusals is as in frame.LoadReport. Suspect reports whether the endpoint is not known to
+	// serve and is asked last.
+	Refusals uint16 `json:"refusals"`
+	Suspect  bool   `json:"suspect"`
 	// Registered reports whether the member record lists the agent, as far as is known.
 	Registered bool `json:"registered"`
 }
@@ -146,6 +157,9 @@
 			Average: float64(x.Average) / 64,
 			Silent:  x.Silent(now),
 
+			Refusals: x.Refusals,
+			Suspect:  x.Suspect(),
+
 			Registered: b.members.Registered(h),
 		})
 	}
--- a/internal/relay/fault/deployment_test.go
+++ b/internal/relay/fault/deployment_test.go
@@ -47,7 +47,11 @@
 	balancers      []*balancer
 	agents         []*agent
 	packets        []link.Packet
-	caller         *caller
+	// slots is the number that every endpoint reports.
+	slots  uint16
+	caller *caller
+	// load, if set, is that of many callers, who take the place of caller.
+	load *load
 	// dropNext, duplicateNext and delayNext count the next datagrams to drop, duplicate
 	// or delay.
 	dropNext, duplicateNext, delayNext int
@@ -99,9 +103,13 @@
 	reportSequence uint64
 	draining       bool
 	drainReported  bool
-	// paused is set while packets are left unread.
+	// paused is set while packets are left unread, dead while every packet is bounced and no
+	// report is sent.
 	paused bool
-	flows  map[link.Key]uint32
+	dead   bool
+	// accepted counts the SYNs accepted, refused those bounced.
+	accepted, refused int
+	flows             map[link.Key]uint32
 }
 
 // newDeployment creates a deployment that has otherEndpoints endpoints of another service
@@ -111,6 +119,7 @@
 		clock:          clock.New(),
 		random:         random,
 		routedServices: map[string]bool{},
+		slots:          5,
 	}
 	d.clock.Run(time.UnixMilli(1000))
 	d.store.complete = true
@@ -280,9 +289,9 @@
 		case router.ReadRecord:
 			b.recordWanted = true
 		case router.Refuse:
-			d.caller.receiveReset(a.Packet.Key, "refused: "+a.Reason.String(), true)
+			d.receiveReset(a.Packet.Key, "refused: "+a.Reason.String(), true)
 		case router.Reset:
-			d.caller.receiveReset(a.Packet.Key, "reset: "+a.Reason.String(), false)
+			d.receiveReset(a.Packet.Key, "reset: "+a.Reason.String(), false)
 		}
 	}
 }
@@ -329,7 +338,7 @@
 }
 
 func (s *agent) sendReport() {
-	if s.endpoint == nil || s.controller == nil || s.paused {
+	if s.endpoint == nil || s.controller == nil || s.paused || s.endpoint.dead {
 		return
 	}
 	s.endpoint.reportSequence++
@@ -339,7 +348,7 @@
 			Service:   s.service,
 			StartedAt: s.endpoint.born,
 			Sequence:  s.endpoint.reportSequence,
-			Slots:     5,
+			Slots:     s.deployment.slots,
 			Draining:  s.endpoint.draining,
 		},
 	})
@@ -391,7 +400,7 @@
 			d.clock.After(hopDelay/10, func() { s.deliverToEndpoint(raw, a.Mark) })
 		case admit.SendToCaller:
 			p := d.packet(a.Raw)
-			d.clock.After(hopDelay, func() { d.caller.receive(p) })
+			d.clock.After(hopDelay, func() { d.receive(p) })
 		case admit.ForwardToCandidate:
 			c := *a.Forward
 			c.Packet = append([]byte(nil), c.Packet...)
@@ -413,7 +422,7 @@
 			})
 		case admit.AnnounceOwner:
 			d.announceOwner(a)
-		case admit.StateChanged:
+		case admit.StateChanged, admit.SuspicionChanged:
 			for _, b := range d.balancers {
 				s.sendLoadReport(b)
 			}
@@ -445,6 +454,16 @@
 	switch {
 	case e == nil || e.paused:
 		return
+	case e.dead:
+		if p.Kind == link.Opening {
+			e.refused++
+		}
+		s.step(admit.PacketBounced{
+			Packet: p,
+			Raw:    raw,
+			Mark:   mark,
+		})
+		return
 	case p.Kind == link.Opening && !d.routedServices[s.service]:
 		d.recordViolation("an endpoint of %s got a SYN for another service", s.service)
 		return
@@ -457,6 +476,7 @@
 		}
 		initial = d.random.Uint32()
 		e.flows[p.Key] = initial
+		e.accepted++
 		s.sendFromEndpoint(p.Key, initial, flagSyn|flagAck, 0)
 	case p.Kind == link.Opening:
 		s.sendFromEndpoint(p.Key, initial, flagSyn|flagAck, 0)
--- /dev/null
+++ b/internal/relay/fault/load_test.go
@@ -0,0 +1,317 @@
+package fault
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/relay/router"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+)
+
+// load is that of many callers. Each opens a flow through any balancer, sends one request and
+// closes the flow.
+type load struct {
+	deployment *deployment
+	calls      map[link.Key]*call
+	nextPort   uint16
+	// refused counts the SYNs answered with a reset or not at all, slow the ones answered after
+	// more than slowOpening.
+	opened, refused, slow int
+	answered              int
+}
+
+// slowOpening is longer than it takes to ask every candidate of a list, one of which does not
+// answer.
+const slowOpening = 100 * time.Millisecond
+
+// call is one caller's flow.
+type call struct {
+	key       link.Key
+	startedAt time.Time
+	initial   uint32
+	open      bool
+	answered  bool
+	refused   bool
+}
+
+// newLoadedDeployment creates a deployment of the size that users run, without callers.
+func newLoadedDeployment(balancers, endpoints int) *deployment {
+	d := newDeployment(rand.New(rand.NewPCG(1, 1)), 0)
+	d.slots = loadedSlots
+	for range balancers - balancerCount {
+		d.addBalancer()
+	}
+	for range endpoints - agentCount {
+		d.addAgent(service)
+	}
+	d.load = &load{
+		deployment: d,
+		calls:      map[link.Key]*call{},
+	}
+	d.run(2 * time.Second)
+	return d
+}
+
+func (d *deployment) addBalancer() {
+	b := &balancer{
+		deployment: d,
+		host:       firstBalancer + frame.Host(len(d.balancers)),
+	}
+	d.balancers = append(d.balancers, b)
+	b.start()
+	b.tick()
+}
+
+func (d *deployment) run(period time.Duration) {
+	d.clock.Run(d.clock.Now().Add(period))
+}
+
+// start starts calls at random times.
+func (l *load) start(period time.Duration, callsPerSecond float64) {
+	d := l.deployment
+	for at := time.Duration(0); at < period; at += time.Duration(float64(time.Second) * d.random.ExpFloat64() / callsPerSecond) {
+		d.clock.After(at, l.call)
+	}
+}
+
+func (l *load) call() {
+	l.nextPort++
+	c := &call{
+		startedAt: l.deployment.clock.Now(),
+		key: link.Key{
+			Caller:     7,
+			CallerPort: l.nextPort,
+			Target:     8,
+			TargetPort: 443,
+			Protocol:   6,
+		},
+	}
+	l.calls[c.key] = c
+	for i, wait := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
+		l.deployment.clock.After(wait, func() {
+			if !c.open && !c.refused {
+				l.send(c, link.Packet{
+					Kind:           link.Opening,
+					Sequence:       initialSequence,
+					Acknowledgment: uint32(i),
+					Flags:          flagSyn,
+				})
+			}
+		})
+	}
+	l.deployment.clock.After(openingTimeout, func() { l.refuse(c) })
+}
+
+func (l *load) refuse(c *call) {
+	if !c.open && !c.refused {
+		c.refused = true
+		l.refused++
+	}
+}
+
+func (l *load) send(c *call, p link.Packet) {
+	d := l.deployment
+	p.Key = c.key
+	raw := d.raw(p)
+	b := d.balancers[d.random.IntN(len(d.balancers))]
+	d.clock.After(hopDelay, func() {
+		b.step(router.Packet{
+			Packet: p,
+			Raw:    raw,
+		})
+	})
+}
+
+func (l *load) receive(p link.Packet) {
+	c := l.calls[p.Key]
+	switch {
+	case p.Flags&flagSyn != 0 && !c.open:
+		c.open = true
+		c.initial = p.Sequence
+		l.opened++
+		if l.deployment.clock.Now().Sub(c.startedAt) > slowOpening {
+			l.slow++
+		}
+		l.send(c, link.Packet{
+			Kind:           link.Continuing,
+			Sequence:       initialSequence + 1,
+			Acknowledgment: c.initial + 1,
+			Flags:          flagAck,
+			Payload:        requestBytes,
+		})
+	case p.Payload > 0 && !c.answered:
+		c.answered = true
+		l.answered++
+		l.send(c, link.Packet{
+			Kind:           link.Closing,
+			Sequence:       initialSequence + 1 + requestBytes,
+			Acknowledgment: c.initial + 1 + requestBytes,
+			Flags:          flagAck | flagFin,
+		})
+	}
+}
+
+func (d *deployment) receive(p link.Packet) {
+	if d.load != nil {
+		d.load.receive(p)
+		return
+	}
+	d.caller.receive(p)
+}
+
+func (d *deployment) receiveReset(k link.Key, why string, opening bool) {
+	if d.load != nil {
+		d.load.refuse(d.load.calls[k])
+		return
+	}
+	d.caller.receiveReset(k, why, opening)
+}
+
+// A service of 48 endpoints, a sixth of which is lost. The load needs about half of the slots of
+// the others, so that there always is a free one.
+const (
+	loadedBalancers = 25
+	loadedEndpoints = 48
+	lostEndpoints   = loadedEndpoints / 6
+	loadedSlots     = 3
+	callsPerSecond  = 2700
+	startDelay      = 10 * time.Millisecond
+)
+
+// loseEndpoints makes endpoints die without their agents. They bounce what they get or, if
+// unread, answer nothing.
+func (d *deployment) loseEndpoints(list []*agent, unread bool) {
+	for _, s := range list {
+		s.endpoint.dead = true
+		s.endpoint.paused = unread
+	}
+}
+
+// startEndpoints starts other incarnations of endpoints that were lost, one after the other. They
+// report at once or, if late, with the next regular report.
+func (d *deployment) startEndpoints(list []*agent, late bool) {
+	for i, s := range list {
+		d.clock.After(time.Duration(i)*startDelay, func() {
+			s.endpoint = newEndpoint(s.endpoint.born + 1)
+			if !late {
+				s.sendReport()
+			}
+		})
+	}
+}
+
+func refusedBy(list []*agent) (n int) {
+	for _, s := range list {
+		n += s.endpoint.refused
+	}
+	return n
+}
+
+func acceptedBy(list []*agent) (n int) {
+	for _, s := range list {
+		n += s.endpoint.accepted
+	}
+	return n
+}
+
+var _ = Describe("A load on many endpoints", func() {
+	// Guards against endpoints that die behind live agents: with nothing in use they were the
+	// first candidates of every new flow, and filled the candidate lists of all balancers.
+	for name, unread := range map[string]bool{
+		"bounces every SYN":  false,
+		"leaves SYNs unread": true,
+	} {
+		// How many callers are served while all endpoints start that report only later. Those
+		// that left SYNs unread get none before their reports.
+		leastOpened := 1000
+		if unread {
+			leastOpened = 150
+		}
+		It("loses no caller when a sixth of them dies and "+name, func() {
+			d := newLoadedDeployment(loadedBalancers, loadedEndpoints)
+			lost := d.agents[:lostEndpoints]
+			d.load.start(8*time.Second, callsPerSecond)
+			d.run(time.Second)
+			d.loseEndpoints(lost, unread)
+			d.run(time.Second)
+			refusedAtFirst := refusedBy(lost)
+			slowAtFirst := d.load.slow
+			d.run(9 * time.Second)
+			l := d.load
+			GinkgoWriter.Printf("opened %d, refused %d, slow %d; SYNs bounced in the first second %d, in all %d\n",
+				l.opened, l.refused, l.slow, refusedAtFirst, refusedBy(lost))
+			Expect(l.refused).To(BeZero())
+			Expect(l.opened).To(Equal(len(l.calls)))
+			Expect(l.slow).To(Equal(slowAtFirst))
+			// Each is asked about once a second to find out whether it serves again.
+			Expect(refusedBy(lost) - refusedAtFirst).To(BeNumerically("<=", 9*2*lostEndpoints))
+		})
+
+		// Guards against suspicions that outlast a loss of all power.
+		It("serves all callers soon after all have come back, each of which "+name, func() {
+			for late, least := range map[bool]int{
+				false: 1000,
+				true:  leastOpened,
+			} {
+				d := newLoadedDeployment(loadedBalancers, loadedEndpoints)
+				l := d.load
+				l.start(9*time.Second, callsPerSecond)
+				d.run(time.Second)
+				d.loseEndpoints(d.agents, unread)
+				d.run(5 * time.Second)
+				d.startEndpoints(d.agents, late)
+				before := l.opened
+				d.run(loadedEndpoints * startDelay)
+				early := l.opened - before
+				if late {
+					d.run(reportInterval)
+				}
+				refused := l.refused
+				l.slow = 0
+				d.run(4 * time.Second)
+				Expect(early).To(BeNumerically(">=", least))
+				Expect(l.refused).To(Equal(refused))
+				GinkgoWriter.Printf("late %t: opened %d while they started, then refused %d, slow %d, opened %d\n",
+					late, early, l.refused-refused, l.slow, l.opened-before)
+			}
+		})
+
+		It("takes endpoints back that "+name, func() {
+			d := newLoadedDeployment(loadedBalancers, loadedEndpoints)
+			lost := d.agents[:lostEndpoints]
+			d.load.start(8*time.Second, callsPerSecond)
+			d.loseEndpoints(lost, unread)
+			d.run(5 * time.Second)
+			d.startEndpoints(lost, false)
+			d.run(time.Second)
+			accepted := acceptedBy(lost)
+			d.run(time.Second)
+			share := float64(acceptedBy(lost)-accepted) / callsPerSecond * loadedEndpoints / lostEndpoints
+			GinkgoWriter.Printf("share of the endpoints that came back: %.2f of an even one\n", share)
+			Expect(share).To(BeNumerically(">", 0.8))
+		})
+
+		// Guards against a suspicion that only a report can end.
+		It("takes endpoints back that continue without a report after one "+name, func() {
+			d := newLoadedDeployment(loadedBalancers, loadedEndpoints)
+			lost := d.agents[:lostEndpoints]
+			d.load.start(8*time.Second, callsPerSecond)
+			d.loseEndpoints(lost, unread)
+			d.run(3 * time.Second)
+			for _, s := range lost {
+				s.endpoint.dead = false
+				s.endpoint.paused = false
+			}
+			d.run(2 * time.Second)
+			accepted := acceptedBy(lost)
+			d.run(time.Second)
+			share := float64(acceptedBy(lost)-accepted) / callsPerSecond * loadedEndpoints / lostEndpoints
+			GinkgoWriter.Printf("share of the endpoints that continued: %.2f of an even one\n", share)
+			Expect(share).To(BeNumerically(">", 0.8))
+		})
+	}
+})
--- a/internal/relay/frame/frame.go
+++ b/internal/relay/frame/frame.go
@@ -83,6 +83,10 @@
 	// Chosen marks the candidate as the least loaded one. It accepts the SYN even
 	// without a free slot.
 	Chosen
+	// FewServing marks a SYN for a service of which most endpoints are not known to serve, as
+	// after a loss of power. Suspects take it after the shortest backoff. Earlier releases
+	// ignore it.
+	FewServing
 )
 
 // NoBest is the value of Forward.Best if no earlier candidate could accept the SYN.
@@ -98,8 +102,9 @@
 	Best     uint8
 	BestLoad uint16
 	// LookupStage is a number chosen by the balancer for the stage of the owner lookup, and
-	// for the query within it, that sent the packet; 0 for a SYN. A Return repeats it, so
-	// that the balancer recognizes the return of an earlier stage or query.
+	// for the query within it, that sent the packet. For a SYN it is the number of earlier
+	// candidate lists that refused it. A Return repeats it, so that the balancer recognizes
+	// the return of an earlier stage, query or list.
 	LookupStage uint8
 	// FlowsPerSlot is the average number of open flows per slot of the service, in 16ths, or
 	// 0 if unknown. It applies to SYNs only.
@@ -207,10 +212,14 @@
 	// milliseconds, or 0 if unknown.
 	ServiceTimeMS uint16
 	// Refusals counts the SYNs that the endpoint has refused or left unanswered since it last
-	// accepted one.
+	// accepted one, except those that it refused because it was full.
 	Refusals uint16
 }
 
+// SuspectRefusals is the value of LoadReport.Refusals from which on the endpoint is a suspect: it
+// is not known to serve. An agent also reports it when the reports of its endpoint have stopped.
+const SuspectRefusals = 2
+
 // NoDigest is the value of LoadReport.BalancersDigest if the receiver should not check it.
 const NoDigest = 0
 
--- a/internal/relay/place/place.go
+++ b/internal/relay/place/place.go
@@ -15,6 +15,7 @@
 
 	"github.com/clementinewing/clementinewing/internal/flow/rank"
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/relay/health"
 	"github.com/clementinewing/clementinewing/internal/relay/roster"
 	"github.com/clementinewing/clementinewing/internal/world/node"
 	"github.com/clementinewing/clementinewing/internal/world/spec"
@@ -52,6 +53,8 @@
 type scoredAgent struct {
 	agent *roster.Agent
 	cost  float64
+	// class is 1 for a suspect, which is asked last, and -1 for an endpoint to be asked first.
+	class int
 }
 
 // Request asks for the candidates of one new flow.
@@ -64,6 +67,8 @@
 	Agents []*roster.Agent
 	// Exclude holds endpoints that have already refused the flow.
 	Exclude []frame.Host
+	// Probe is an endpoint to ask first, to find out whether it serves, or 0.
+	Probe frame.Host
 	Features
 }
 
@@ -76,18 +81,30 @@
 }
 
 // FlowCandidates returns at most maxFlowCandidates endpoints that accept new flows,
-// lowest cost first.
+// lowest cost first. Suspects come last, unless no endpoint is known to serve.
 func FlowCandidates(q *Request) (list []frame.Host) {
 	candidates := make([]scoredAgent, 0, len(q.Agents))
+	serving := slices.ContainsFunc(q.Agents, func(s *roster.Agent) bool {
+		return s.AcceptsFlows(q.Now) && !health.Unproven(s) && !slices.Contains(q.Exclude, s.Host)
+	})
 	for _, s := range q.Agents {
 		if s.AcceptsFlows(q.Now) && !slices.Contains(q.Exclude, s.Host) {
-			candidates = append(candidates, scoredAgent{
+			c := scoredAgent{
 				agent: s,
 				cost:  PlacementCost(q.Now, q.Zone, s) + maxRandomCost*hashFraction(q.Hash, s.Host),
-			})
+			}
+			switch {
+			case s.Host == q.Probe:
+				c.class = -1
+			case serving && s.Suspect():
+				c.class = 1
+			}
+			candidates = append(candidates, c)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b scoredAgent) int { return cmp.Compare(a.cost, b.cost) })
+	slices.SortFunc(candidates, func(a, b scoredAgent) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.cost, b.cost))
+	})
 	candidates = candidates[:min(len(candidates), maxFlowCandidates)]
 	list = make([]frame.Host, len(candidates))
 	for i := range candidates {
--- a/internal/relay/roster/agent.go
+++ b/internal/relay/roster/agent.go
@@ -32,6 +32,12 @@
 	return s.State == node.Serving && !s.Silent(now)
 }
 
+// Suspect reports whether the endpoint is not known to serve, so that its low load counts for
+// nothing.
+func (s *Agent) Suspect() bool {
+	return s.Refusals >= frame.SuspectRefusals
+}
+
 // absent reports whether the agent has been silent for so long that it is not expected
 // back. An agent whose endpoint refused SYNs and never reported counts as absent as soon as
 // it is silent: its VM has been removed.
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -162,6 +162,14 @@
 	}
 }
 
+// MarkAccepted records that the endpoint of an agent has accepted a SYN.
+func (r *Roster) MarkAccepted(h frame.Host) {
+	if s, ok := r.agents[h]; ok {
+		s.Refusals = 0
+		s.Proven = true
+	}
+}
+
 // Joins counts how often an agent was heard for the first time or after an absence.
 func (r *Roster) Joins() uint64 {
 	return r.joins
@@ -208,7 +216,7 @@
 func (r *Roster) averagePerSlot(now time.Time, id spec.ServiceID, figure func(s *Agent) int) uint16 {
 	sum, slots := 0, 0
 	for _, s := range r.services[id] {
-		if s.AcceptsFlows(now) && s.Proven {
+		if s.AcceptsFlows(now) && s.Proven && !s.Suspect() {
 			sum += figure(s)
 			slots += int(s.Slots)
 		}
--- a/internal/relay/router/lookup.go
+++ b/internal/relay/router/lookup.go
@@ -164,7 +164,7 @@
 	p := e.Packet
 	x, ok := g.flows[p.Key]
 	if p.Kind == link.Opening {
-		g.handleRejection(x, e)
+		g.handleRejection(now, x, e)
 		return
 	}
 	if e.FlowEnded {
@@ -268,16 +268,19 @@
 	g.retries = append(g.retries, d)
 }
 
-// handleRejection refuses a SYN that no candidate takes, unless another copy of it has
-// been accepted meanwhile.
-func (g *Router) handleRejection(x *flow, e Returned) {
-	if x == nil || x.sequence != e.Packet.Sequence || x.pending == nil && !x.queuedAt(e.Host) {
+// handleRejection offers a SYN that no candidate takes to other endpoints. It refuses the SYN if
+// there is none, unless another copy of it has been accepted meanwhile.
+func (g *Router) handleRejection(now time.Time, x *flow, e Returned) {
+	if x == nil || x.sequence != e.Packet.Sequence || x.pending == nil && !x.queuedAt(e.Host) || x.offer.outdates(e) {
 		g.addAction(Drop{
 			Packet: e.Packet,
 			Reason: AllRejected,
 		})
 		return
 	}
+	if x.offer != nil && g.offerAgain(now, x, x.offer) {
+		return
+	}
 	delete(g.flows, e.Packet.Key)
 	g.addAction(Refuse{
 		Packet: e.Packet,
--- /dev/null
+++ b/internal/relay/router/offer.go
@@ -0,0 +1,78 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/relay/health"
+	"github.com/clementinewing/clementinewing/internal/relay/place"
+	"github.com/clementinewing/clementinewing/internal/world/spec"
+)
+
+const (
+	// maxFurtherLists is how many further candidate lists a SYN is offered to after the first
+	// one has refused it. Three lists are several times the endpoints of a service that are
+	// lost at once without their agents.
+	maxFurtherLists = 2
+	// offerTimeout is how long after a SYN arrived it is offered to further endpoints. Its
+	// caller waits for 1.4 s, and the endpoint's answer takes part of it.
+	offerTimeout = 1200 * time.Millisecond
+)
+
+// flowCandidates returns the candidates of a new flow among the endpoints of a service that have
+// not refused it, and the flags of the Forward to them.
+func (g *Router) flowCandidates(now time.Time, hash uint64, service spec.ServiceID, refused []frame.Host) (list []frame.Host, flags uint8) {
+	agents := g.members.ServiceAgents(service)
+	s, ok := g.health[service]
+	if !ok {
+		s = &health.Service{}
+		g.health[service] = s
+	}
+	s.Update(now, agents, func() int { return len(g.members.Balancers()) })
+	q := place.Request{
+		Now:      now,
+		Hash:     hash,
+		Zone:     g.zone,
+		Agents:   agents,
+		Exclude:  refused,
+		Features: g.features,
+	}
+	if len(refused) == 0 {
+		q.Probe = s.Probe(now, hash)
+	}
+	if s.FewServing() {
+		flags = frame.FewServing
+	}
+	return place.FlowCandidates(&q), flags
+}
+
+// offerAgain offers a SYN that all its candidates have refused to others. It reports whether
+// there are any.
+func (g *Router) offerAgain(now time.Time, x *flow, o *pendingFlow) bool {
+	if o.lists >= maxFurtherLists || now.After(o.startedAt.Add(offerTimeout)) {
+		return false
+	}
+	next := *o
+	next.refused = append(slices.Clone(o.refused), o.candidates...)
+	next.candidates, next.flags = g.flowCandidates(now, o.key.Hash(), x.service, next.refused)
+	if len(next.candidates) == 0 {
+		return false
+	}
+	next.lists++
+	next.sentAt = now
+	next.resendAt = now.Add(resendDelay << next.tries)
+	x.owners = [2]owner{}
+	x.pending = &next
+	x.offer = &next
+	x.expiresAt = now.Add(openingTTL)
+	g.pending = append(g.pending, x.pending)
+	g.sendOpening(x, x.pending, OfferedAgain)
+	return true
+}
+
+// outdates reports whether a returned SYN comes from an earlier candidate list than that of the
+// offer.
+func (o *pendingFlow) outdates(e Returned) bool {
+	return o != nil && int(e.LookupStage) < o.lists
+}
--- a/internal/relay/router/open.go
+++ b/internal/relay/router/open.go
@@ -68,13 +68,7 @@
 func (g *Router) placeFlow(now time.Time, route *plan.Route, p Packet) {
 	hash := p.Key.Hash()
 	service := route.ChooseService(hash)
-	list := place.FlowCandidates(&place.Request{
-		Now:      now,
-		Hash:     hash,
-		Zone:     g.zone,
-		Agents:   g.members.ServiceAgents(service),
-		Features: g.features,
-	})
+	list, flags := g.flowCandidates(now, hash, service, nil)
 	if len(list) == 0 {
 		g.refuseUnplaced(now, service, p)
 		return
@@ -101,6 +95,7 @@
 		packet:        p.Packet,
 		raw:           slices.Clone(p.Raw),
 		candidates:    list,
+		flags:         flags,
 		home:          home,
 		flowsPerSlot:  g.members.FlowsPerSlot(now, service),
 		latencyTarget: latencyTargetMS(route),
@@ -109,6 +104,7 @@
 		sentAt:        now,
 		resendAt:      now.Add(resendDelay),
 	}
+	x.offer = x.pending
 	g.pending = append(g.pending, x.pending)
 	g.sendOpening(x, x.pending, Placed)
 }
@@ -144,7 +140,9 @@
 		Kind:   link.Opening,
 		Reason: why,
 		Forward: &frame.Forward{
+			Flags:           o.flags,
 			Best:            frame.NoBest,
+			LookupStage:     uint8(o.lists),
 			FlowsPerSlot:    o.flowsPerSlot,
 			LatencyTargetMS: o.latencyTarget,
 			Priority:        o.priority,
--- a/internal/relay/router/owner.go
+++ b/internal/relay/router/owner.go
@@ -51,6 +51,9 @@
 
 func (g *Router) handleHint(now time.Time, o frame.Owner) {
 	g.members.MarkAlive(o.Host)
+	if o.Known {
+		g.members.MarkAccepted(o.Host)
+	}
 	x, ok := g.flows[o.Key]
 	if !ok {
 		x = g.addFlow(now, o.Key)
@@ -67,6 +70,9 @@
 		})
 	}
 	x.pending = nil
+	if o.Known {
+		x.offer = nil
+	}
 	x.retry = nil
 	x.lookedUpSince = time.Time{}
 	x.noOwnerUntil = time.Time{}
--- a/internal/relay/router/reason.go
+++ b/internal/relay/router/reason.go
@@ -13,6 +13,8 @@
 	Repeated
 	// Resent: no endpoint answered a SYN in time.
 	Resent
+	// OfferedAgain: all candidates refused a SYN, which goes to endpoints not asked before.
+	OfferedAgain
 	// Lookup: the owner is not known to this balancer.
 	Lookup
 	// NoPlan: no configuration has been read yet.
@@ -42,6 +44,7 @@
 	Placed:         "placed",
 	Repeated:       "repeated",
 	Resent:         "resent",
+	OfferedAgain:   "offered_again",
 	Lookup:         "lookup",
 	NoPlan:         "no_plan",
 	NoRoute:        "no_route",
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/relay/health"
 	"github.com/clementinewing/clementinewing/internal/relay/place"
 	"github.com/clementinewing/clementinewing/internal/relay/plan"
 	"github.com/clementinewing/clementinewing/internal/relay/roster"
@@ -145,6 +146,8 @@
 	service   spec.ServiceID
 	expiresAt time.Time
 	pending   *pendingFlow
+	// offer is the latest offer of the SYN to endpoints until one has accepted it.
+	offer *pendingFlow
 	// noOwnerUntil is until when a bare ACK starts no further lookup, because every
 	// endpoint has denied the flow.
 	noOwnerUntil time.Time
@@ -163,7 +166,9 @@
 	packet     link.Packet
 	raw        []byte
 	candidates []frame.Host
-	home       frame.Host
+	// flags are those of the Forward.
+	flags uint8
+	home  frame.Host
 	// flowsPerSlot is the service's; latencyTarget and priority are the route's.
 	flowsPerSlot  uint16
 	latencyTarget uint16
@@ -173,6 +178,10 @@
 	sentAt    time.Time
 	resendAt  time.Time
 	tries     int
+	// lists is the number of earlier candidate lists, which have refused the SYN, and refused
+	// the endpoints in them.
+	lists   int
+	refused []frame.Host
 }
 
 // Router decides on the packets of one balancer. It is not safe for concurrent use.
@@ -193,6 +202,8 @@
 	sweepAt time.Time
 	actions []Action
 
+	// health holds what is known of the endpoints of each service that has got new flows.
+	health   map[spec.ServiceID]*health.Service
 	features place.Features
 }
 
@@ -216,6 +227,7 @@
 		active:    active,
 		flows:     map[link.Key]*flow{},
 		loads:     map[spec.ServiceID]serviceLoad{},
+		health:    map[spec.ServiceID]*health.Service{},
 	}
 	for _, o := range options {
 		o(g)
@@ -276,8 +288,9 @@
 	if p.IsReset() {
 		delete(g.flows, p.Key)
 	}
-	if x.pending != nil && p.HasAck() {
+	if p.HasAck() {
 		x.pending = nil
+		x.offer = nil
 	}
 	host := x.ownerOf(p.Packet)
 	if x.retry.awaitsProof() && host == 0 {
--- a/internal/relay/router/script_test.go
+++ b/internal/relay/router/script_test.go
@@ -261,6 +261,7 @@
 		Slots:     uint16(l.Int("slots", 10)),
 		InUse:     uint16(l.Int("used", 0)),
 		Average:   uint16(l.Int("used", 0) * 64),
+		Refusals:  uint16(l.Int("refusals", 0)),
 
 		WantsRegistration: l.Has("registers"),
 		EndpointAbsent:    l.Has("absent"),
@@ -282,6 +283,9 @@
 			if a.Forward.Flags&frame.CandidateSilent != 0 {
 				text += ", unsure"
 			}
+			if a.Forward.Flags&frame.FewServing != 0 {
+				text += ", few serving"
+			}
 			if a.Forward.LookupStage == stageProven {
 				text += ", proven"
 			}
