--- a/internal/relay/admit/reason.go
+++ b/internal/relay/admit/reason.go
@@ -67,6 +67,8 @@
 	EvacuationsKnown
 	// EvacuationsUnknown: no balancer has confirmed in time which failure domains are evacuated.
 	EvacuationsUnknown
+	// Suspect: the endpoint is not known to serve, and one SYN is already pending.
+	Suspect
 
 	reasonCount
 )
@@ -102,6 +104,7 @@
 	SlowStart:          "slow_start",
 	EvacuationsKnown:   "evacuations_known",
 	EvacuationsUnknown: "evacuations_unknown",
+	Suspect:            "suspect",
 }
 
 // Reasons returns all reasons.
--- a/internal/relay/agent/packets.go
+++ b/internal/relay/agent/packets.go
@@ -180,12 +180,10 @@
 		case admit.EvacuationChanged:
 			a.counts.evacuationChanges++
 			a.logEvacuationChange(x)
+		case admit.SuspicionChanged:
+			a.applySuspicion(x)
 		case admit.StateChanged:
-			a.logStateChange(x)
-			a.sendReportsNow()
-			if x.Reason == admit.OpeningUnanswered || x.Reason == admit.EndpointRefused {
-				go a.probeEndpoint()
-			}
+			a.applyStateChange(x)
 		}
 	}
 }
