router, lookup: ask about many flows in one datagram within a byte budget

After a loss of power each of the 25 balancers asked each of 65 agents about each lost flow in a datagram of its own, and repeated the whole lookup while an answer was missing or the member record had not been read. The links and processors of small balancers were full, and their new flows got lost.

A denial is kept for the flow, which its sequence numbers identify, so a repeated lookup asks only the agents that have not answered, and a lookup that all have denied ends with the read of the member record. Repetitions of a lookup that cannot be settled come at growing intervals while its caller waits; further packets of the caller do not start it.

--- a/internal/relay/admit/controller.go
+++ b/internal/relay/admit/controller.go
@@ -64,7 +64,7 @@
 )
 
 // Event is PacketForEndpoint, PacketFromEndpoint, PacketBounced, OwnerAnnounced,
-// OwnerQueried, ReportReceived, EndpointStopped, StopAccepting, StateRemembered,
+// OwnerQueried, OwnersQueried, ReportReceived, EndpointStopped, StopAccepting, StateRemembered,
 // RegistrationKnown, BalancerFound, EndpointUnreachable or Tick.
 type Event interface{ event() }
 
@@ -97,6 +97,11 @@
 	frame.OwnerQuery
 }
 
+// OwnersQueried is a balancer's query which of several flows the endpoint owns.
+type OwnersQueried struct {
+	frame.OwnerBatch
+}
+
 // Report is the endpoint's description of its own state.
 type Report struct {
 	ID        string
@@ -159,6 +164,7 @@
 func (PacketBounced) event()       {}
 func (OwnerAnnounced) event()      {}
 func (OwnerQueried) event()        {}
+func (OwnersQueried) event()       {}
 func (ReportReceived) event()      {}
 func (EndpointStopped) event()     {}
 func (StopAccepting) event()       {}
@@ -169,7 +175,7 @@
 func (Tick) event()                {}
 
 // Action is Deliver, ForwardToCandidate, ReturnToBalancer, AnnounceOwner, DenyOwnership,
-// RequestQueued, RequestAbandoned, SendToCaller, FlowAccepted, RequestStarted,
+// AnswerOwners, RequestQueued, RequestAbandoned, SendToCaller, FlowAccepted, RequestStarted,
 // RequestAnswered, ReportRefused or StateChanged.
 type Action interface{ action() }
 
@@ -208,6 +214,12 @@
 	Denial frame.Denial
 }
 
+// AnswerOwners answers a batch of a balancer's owner queries.
+type AnswerOwners struct {
+	To      frame.Host
+	Answers frame.OwnerAnswers
+}
+
 // RequestQueued reports that a request on an open flow waits for a slot.
 type RequestQueued struct {
 	Key link.Key
@@ -261,6 +273,7 @@
 func (ReturnToBalancer) action()   {}
 func (AnnounceOwner) action()      {}
 func (DenyOwnership) action()      {}
+func (AnswerOwners) action()       {}
 func (RequestQueued) action()      {}
 func (RequestAbandoned) action()   {}
 func (SendToCaller) action()       {}
@@ -388,6 +401,8 @@
 		h.storeRemoteOwner(now, e.Owner)
 	case OwnerQueried:
 		h.answerOwnerQuery(e.OwnerQuery)
+	case OwnersQueried:
+		h.answerOwnerBatch(e.OwnerBatch)
 	case ReportReceived:
 		h.handleReport(now, e.Report)
 	case EndpointStopped:
@@ -435,6 +450,8 @@
 		Average:   uint16(min(h.averageLoad*roster.LoadUnit, 0xffff)),
 		Flows:     uint16(min(h.openFlows, 0xffff)),
 		ColdMS:    uint16(max(0, min(e.coldUntil.Sub(now).Milliseconds(), 0xffff))),
+
+		AnswersBatches: true,
 	}
 }
 
--- a/internal/relay/admit/lookup.go
+++ b/internal/relay/admit/lookup.go
@@ -54,13 +54,14 @@
 	h.deliverToEndpoint(now, p, c, deliverUnknown)
 }
 
-// answerOwnerQuery answers a balancer's owner query. If this process has not seen all
-// flows of the endpoint, only the endpoint itself can decide, given the packet.
+// answerOwnerQuery answers a balancer's owner query.
 func (h *Controller) answerOwnerQuery(a frame.OwnerQuery) {
-	f, ok := h.flows[a.Key]
-	if ok && f.initialKnown && (!a.Acknowledges || f.hasSent(a.Acknowledgment)) {
-		f.balancer = a.Balancer
-		h.announceOwner(f, a.Key)
+	verdict := h.answerFlowQuery(a.Balancer, frame.FlowQuery{
+		Key:            a.Key,
+		Acknowledgment: a.Acknowledgment,
+		Acknowledges:   a.Acknowledges,
+	})
+	if verdict == frame.Owned {
 		return
 	}
 	h.emit(DenyOwnership{
@@ -69,12 +70,49 @@
 			QueryID:    a.QueryID,
 			Host:       h.self,
 			Key:        a.Key,
-			Conclusive: !ok && h.deniesFlow(a.Key),
-			FlowEnded:  !ok && h.ownedEndedFlow(a.Key, a.Acknowledgment, a.Acknowledges),
+			Conclusive: verdict == frame.Denied || verdict == frame.Ended && h.deniesFlow(a.Key),
+			FlowEnded:  verdict == frame.Ended,
 		},
 	})
 }
 
+// answerOwnerBatch answers a batch of a balancer's owner queries.
+func (h *Controller) answerOwnerBatch(a frame.OwnerBatch) {
+	m := frame.OwnerAnswers{
+		BatchID: a.BatchID,
+		Digest:  frame.FlowsDigest(a.Flows),
+		Host:    h.self,
+	}
+	for i := range a.Flows {
+		m.Verdicts = append(m.Verdicts, h.answerFlowQuery(a.Balancer, a.Flows[i]))
+	}
+	h.emit(AnswerOwners{
+		To:      a.Balancer,
+		Answers: m,
+	})
+}
+
+// answerFlowQuery returns the answer to an owner query, and announces the endpoint as the owner
+// if it is. If this process has not seen all flows of the endpoint, only the endpoint itself
+// can decide, given the packet.
+func (h *Controller) answerFlowQuery(balancer frame.Host, q frame.FlowQuery) frame.Verdict {
+	f, ok := h.flows[q.Key]
+	switch {
+	case ok && f.initialKnown && (!q.Acknowledges || f.hasSent(q.Acknowledgment)):
+		f.balancer = balancer
+		h.announceOwner(f, q.Key)
+		return frame.Owned
+	case ok:
+		return frame.CannotTell
+	case h.ownedEndedFlow(q.Key, q.Acknowledgment, q.Acknowledges):
+		return frame.Ended
+	case h.deniesFlow(q.Key):
+		return frame.Denied
+	default:
+		return frame.CannotTell
+	}
+}
+
 // deniesFlow reports whether the endpoint is known not to hold a flow that is not in the
 // table.
 func (h *Controller) deniesFlow(key link.Key) bool {
--- a/internal/relay/agent/packets.go
+++ b/internal/relay/agent/packets.go
@@ -122,6 +122,12 @@
 		a.execute(a.controller.Step(now, admit.OwnerQueried{
 			OwnerQuery: m,
 		}))
+	case frame.OwnerBatch:
+		a.counts.ownerBatches++
+		a.counts.ownerFlows += uint64(len(m.Flows))
+		a.execute(a.controller.Step(now, admit.OwnersQueried{
+			OwnerBatch: m,
+		}))
 	case frame.Heartbeat:
 		a.handleHeartbeat(now, m)
 	case frame.MemberList:
@@ -154,10 +160,8 @@
 			a.counts.returned[x.Reason]++
 			a.logReturn(x)
 			a.send(x.To, x.Return)
-		case admit.AnnounceOwner:
-			a.send(x.To, x.Owner)
-		case admit.DenyOwnership:
-			a.send(x.To, x.Denial)
+		case admit.AnnounceOwner, admit.DenyOwnership, admit.AnswerOwners:
+			a.sendAnswer(x)
 		case admit.RequestQueued:
 			a.counts.queued++
 			a.logRequestQueued(x)
@@ -183,6 +187,19 @@
 	}
 }
 
+// sendAnswer tells a balancer or another agent who owns flows.
+func (a *Agent) sendAnswer(x admit.Action) {
+	switch x := x.(type) {
+	case admit.AnnounceOwner:
+		a.send(x.To, x.Owner)
+	case admit.DenyOwnership:
+		a.send(x.To, x.Denial)
+	case admit.AnswerOwners:
+		a.countAnswers(x.Answers.Verdicts)
+		a.send(x.To, x.Answers)
+	}
+}
+
 func (a *Agent) sendToCaller(k link.Key, raw []byte) {
 	if _, err := a.outbound.WriteToUDPAddrPort(raw, a.codec.Caller(k)); err != nil {
 		a.counts.sendErrors++
--- a/internal/relay/agent/state.go
+++ b/internal/relay/agent/state.go
@@ -5,6 +5,7 @@
 
 	"github.com/clementinewing/clementinewing/internal/edge/meter"
 	"github.com/clementinewing/clementinewing/internal/relay/admit"
+	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/world/node"
 )
 
@@ -43,11 +44,16 @@
 	reportsRefused uint64
 	probes         uint64
 	malformed      uint64
-	sendErrors     uint64
-	storeCalls     uint64
-	storeFailures  uint64
-	forwarded      [maxReasons]uint64
-	returned       [maxReasons]uint64
+	// ownerBatches counts batches of owner queries, ownerFlows the flows in them and verdicts
+	// the answers.
+	ownerBatches  uint64
+	ownerFlows    uint64
+	verdicts      [frame.VerdictCount]uint64
+	sendErrors    uint64
+	storeCalls    uint64
+	storeFailures uint64
+	forwarded     [maxReasons]uint64
+	returned      [maxReasons]uint64
 }
 
 // maxReasons is the length of arrays that are indexed by admit.Reason.
@@ -68,6 +74,8 @@
 		{Name: "endpoint_reports_refused", Value: c.reportsRefused},
 		{Name: "endpoint_probes", Value: c.probes},
 		{Name: "malformed", Value: c.malformed},
+		{Name: "owner_batches", Value: c.ownerBatches},
+		{Name: "owner_batch_flows", Value: c.ownerFlows},
 		{Name: "send_errors", Value: c.sendErrors},
 		{Name: "store_calls", Value: c.storeCalls},
 		{Name: "store_failures", Value: c.storeFailures},
@@ -79,6 +87,13 @@
 			meter.Total{Name: "given_back", Reason: r.String(), Value: c.returned[r]},
 		)
 	}
+	for v := range frame.VerdictCount {
+		s.Totals = append(s.Totals, meter.Total{
+			Name:   "owner_answers",
+			Reason: v.String(),
+			Value:  c.verdicts[v],
+		})
+	}
 	s.Levels = []meter.Level{
 		{Name: "in_use", Value: float64(a.controller.InUse())},
 		{Name: "flows", Value: float64(a.controller.Flows())},
@@ -87,6 +102,13 @@
 	return s
 }
 
+// countAnswers counts the answers to a batch of owner queries.
+func (a *Agent) countAnswers(verdicts []frame.Verdict) {
+	for _, v := range verdicts {
+		a.counts.verdicts[v]++
+	}
+}
+
 // State is the published state of an agent.
 type State struct {
 	Service string `json:"service"`
--- a/internal/relay/entry/packets.go
+++ b/internal/relay/entry/packets.go
@@ -65,6 +65,12 @@
 			for _, h := range a.To {
 				b.send(h, a.Query)
 			}
+		case router.OwnerBatch:
+			b.counts.ownerBatches++
+			b.counts.ownerFlows += uint64(len(a.Batch.Flows))
+			b.send(a.To, a.Batch)
+		case router.LookupSettled:
+			b.counts.lookups[a.Outcome]++
 		case router.ReadRecord:
 			b.recordWanted = true
 		case router.OwnerFound:
@@ -143,6 +149,10 @@
 		b.execute(b.router.Step(now, router.Denied{
 			Denial: m,
 		}))
+	case frame.OwnerAnswers:
+		b.execute(b.router.Step(now, router.BatchAnswered{
+			OwnerAnswers: m,
+		}))
 	case frame.LoadReport:
 		b.handleLoadReport(now, m)
 	case frame.Heartbeat:
--- a/internal/relay/entry/state.go
+++ b/internal/relay/entry/state.go
@@ -29,10 +29,15 @@
 
 // counts holds the counters of a balancer.
 type counts struct {
-	packets       uint64
-	malformed     uint64
-	sendErrors    uint64
-	ownerQueries  uint64
+	packets      uint64
+	malformed    uint64
+	sendErrors   uint64
+	ownerQueries uint64
+	// ownerBatches counts batches of owner queries, ownerFlows the flows in them and lookups
+	// the parallel lookups that ended.
+	ownerBatches  uint64
+	ownerFlows    uint64
+	lookups       [router.OutcomeCount]uint64
 	storeCalls    uint64
 	storeFailures uint64
 	recordReads   uint64
@@ -56,6 +61,8 @@
 		{Name: "malformed", Value: c.malformed},
 		{Name: "send_errors", Value: c.sendErrors},
 		{Name: "owner_questions", Value: c.ownerQueries},
+		{Name: "owner_batches", Value: c.ownerBatches},
+		{Name: "owner_batch_flows", Value: c.ownerFlows},
 		{Name: "store_calls", Value: c.storeCalls},
 		{Name: "store_failures", Value: c.storeFailures},
 		{Name: "record_reads", Value: c.recordReads},
@@ -71,6 +78,14 @@
 			meter.Total{Name: "packets_dropped", Reason: r.String(), Value: c.dropped[r]},
 		)
 	}
+	for o := range router.OutcomeCount {
+		s.Totals = append(s.Totals, meter.Total{
+			Name:   "lookups",
+			Reason: o.String(),
+			Value:  c.lookups[o],
+		})
+	}
+	lookups := b.router.Lookups()
 	unreachable := 0.0
 	if _, found := b.members.Unreachable(time.Now()); found {
 		unreachable = 1
@@ -78,6 +93,9 @@
 	s.Levels = []meter.Level{
 		{Name: "members_unreachable", Value: unreachable},
 		{Name: "flows", Value: float64(b.router.Flows())},
+		{Name: "lookups_unsent", Value: float64(lookups.Unsent)},
+		{Name: "lookups_undecided", Value: float64(lookups.Undecided)},
+		{Name: "lookups_unsettled", Value: float64(lookups.Unsettled)},
 		{Name: "side_processes", Value: float64(len(b.members.PresentAgents()))},
 		{Name: "balancers", Value: float64(len(b.members.Balancers()))},
 		{Name: "plan_version", Value: float64(b.activePlan.Version())},
@@ -100,11 +118,13 @@
 
 // State is the published state of a balancer.
 type State struct {
-	PlanVersion  uint64       `json:"plan_version"`
-	PlanRevision uint64       `json:"plan_revision"`
-	StoreAgeMS   int64        `json:"store_answer_age_ms"`
-	Balancers    []string     `json:"balancers"`
-	Agents       []AgentState `json:"side_processes"`
+	PlanVersion  uint64 `json:"plan_version"`
+	PlanRevision uint64 `json:"plan_revision"`
+	StoreAgeMS   int64  `json:"store_answer_age_ms"`
+	// Lookups are the lookups of flow owners in progress.
+	Lookups   router.Lookups `json:"lookups"`
+	Balancers []string       `json:"balancers"`
+	Agents    []AgentState   `json:"side_processes"`
 }
 
 // AgentState is the published state of one agent as the balancer knows it.
@@ -130,6 +150,7 @@
 		PlanVersion:  b.activePlan.Version(),
 		PlanRevision: b.activePlan.Revision(),
 		StoreAgeMS:   b.storeAge().Milliseconds(),
+		Lookups:      b.router.Lookups(),
 	}
 	for _, h := range b.members.Balancers() {
 		s.Balancers = append(s.Balancers, h.String())
--- a/internal/relay/fault/deployment_test.go
+++ b/internal/relay/fault/deployment_test.go
@@ -277,6 +277,12 @@
 					})
 				})
 			}
+		case router.OwnerBatch:
+			d.sendDatagram(func() {
+				d.agents[a.To-1].step(admit.OwnersQueried{
+					OwnerBatch: a.Batch,
+				})
+			})
 		case router.ReadRecord:
 			b.recordWanted = true
 		case router.Refuse:
@@ -411,6 +417,12 @@
 					Denial: a.Denial,
 				})
 			})
+		case admit.AnswerOwners:
+			d.sendDatagram(func() {
+				d.balancerAt(a.To).step(router.BatchAnswered{
+					OwnerAnswers: a.Answers,
+				})
+			})
 		case admit.AnnounceOwner:
 			d.announceOwner(a)
 		case admit.StateChanged:
--- a/internal/relay/frame/codec.go
+++ b/internal/relay/frame/codec.go
@@ -51,6 +51,10 @@
 		return appendKey(out, m.Key)
 	case Registration:
 		return append(out, magic, version, kindRegistration, byte(m.Status))
+	case OwnerBatch:
+		return appendOwnerBatch(out, m)
+	case OwnerAnswers:
+		return appendOwnerAnswers(out, m)
 	default:
 		return out
 	}
@@ -171,6 +175,10 @@
 		m = Registration{
 			Status: RegistrationStatus(r.byte()),
 		}
+	case kindOwnerBatch:
+		m = r.ownerBatch()
+	case kindOwnerAnswers:
+		m = r.ownerAnswers()
 	default:
 		return nil, ErrUnknownFormat
 	}
@@ -328,6 +336,7 @@
 		IntervalMS:      r.uint16(),
 	}
 	if bits&bit7 != 0 {
+		m.AnswersBatches = true
 		m.Evacuations = r.uint64()
 		m.ServiceTimeMS = r.uint16()
 		m.Refusals = r.uint16()
--- a/internal/relay/frame/frame.go
+++ b/internal/relay/frame/frame.go
@@ -47,7 +47,7 @@
 )
 
 // Message is the content of one datagram: *Forward, Return, Owner, LoadReport,
-// Heartbeat, MemberList, OwnerQuery, Denial or Registration.
+// Heartbeat, MemberList, OwnerQuery, Denial, Registration, OwnerBatch or OwnerAnswers.
 type Message interface{ message() }
 
 // Host is the IPv4 address of a balancer or agent. All processes use the same ports.
@@ -209,6 +209,9 @@
 	// Refusals counts the SYNs that the endpoint has refused or left unanswered since it last
 	// accepted one.
 	Refusals uint16
+	// AnswersBatches reports that the agent answers an OwnerBatch. Decode sets it for agents that
+	// send the fields from Evacuations on; those of earlier releases do not.
+	AnswersBatches bool
 }
 
 // NoDigest is the value of LoadReport.BalancersDigest if the receiver should not check it.
--- a/internal/relay/frame/frame_test.go
+++ b/internal/relay/frame/frame_test.go
@@ -12,6 +12,20 @@
 	"github.com/clementinewing/clementinewing/internal/world/node"
 )
 
+func newFlowQuery(caller uint32, port uint16, acknowledges bool) frame.FlowQuery {
+	return frame.FlowQuery{
+		Key: link.Key{
+			Caller:     caller,
+			Target:     9,
+			CallerPort: 5,
+			TargetPort: port,
+			Protocol:   6,
+		},
+		Acknowledgment: caller,
+		Acknowledges:   acknowledges,
+	}
+}
+
 // messages returns one message of each kind with every field set.
 func messages() []frame.Message {
 	return []frame.Message{
@@ -81,6 +95,7 @@
 			Evacuations:     14,
 			ServiceTimeMS:   15,
 			Refusals:        16,
+			AnswersBatches:  true,
 		},
 		frame.Heartbeat{
 			Host:         1,
@@ -127,6 +142,22 @@
 		frame.Registration{
 			Status: frame.RegistrationImpossible,
 		},
+		frame.OwnerBatch{
+			BatchID:  1,
+			Balancer: 2,
+			Flows: []frame.FlowQuery{
+				newFlowQuery(1, 443, true),
+				newFlowQuery(2, 443, true),
+				newFlowQuery(3, 444, true),
+				newFlowQuery(4, 444, false),
+			},
+		},
+		frame.OwnerAnswers{
+			BatchID:  1,
+			Digest:   2,
+			Host:     3,
+			Verdicts: []frame.Verdict{frame.Owned, frame.Denied, frame.CannotTell, frame.Ended, frame.Denied},
+		},
 	}
 }
 
@@ -181,6 +212,16 @@
 		Expect(err).To(MatchError(frame.ErrTruncated))
 	})
 
+	It("fits a full batch with one target into 1,200 bytes", func() {
+		var m frame.OwnerBatch
+		for i := range uint32(frame.MaxBatchFlows) {
+			m.Flows = append(m.Flows, newFlowQuery(i, 443, true))
+		}
+		encoded := frame.Append(nil, m)
+		Expect(len(encoded)).To(BeNumerically("<=", 1200))
+		Expect(frame.Decode(encoded)).To(Equal(m))
+	})
+
 	It("converts between hosts and IPv4 addresses", func() {
 		a := netip.MustParseAddr("10.1.2.3")
 		Expect(frame.HostOf(a).Addr()).To(Equal(a))
--- a/internal/relay/router/lookup.go
+++ b/internal/relay/router/lookup.go
@@ -26,11 +26,27 @@
 	// the roster's Joins was.
 	denied bool
 	joins  uint64
+	// bounded is set for a parallel lookup. Its repetitions come at growing intervals, while its
+	// caller waits, and packets of the caller do not cause any.
+	bounded bool
 }
 
-// awaitsProof reports whether the lookup is repeated by itself once that may have another result.
-func (d *lookupRetry) awaitsProof() bool {
-	return d != nil && d.scheduled && d.denied
+// repeatsItself reports whether the lookup is repeated without further packets of the caller.
+func (d *lookupRetry) repeatsItself() bool {
+	return d != nil && d.scheduled && (d.denied || d.bounded)
+}
+
+// forgetOtherLookup forgets a lookup of another flow with the same addresses and ports: what
+// agents have denied says nothing about the flow of the packet.
+func (x *flow) forgetOtherLookup(p link.Packet) {
+	if x.denials == nil || x.denials.Covers(p) {
+		return
+	}
+	x.denials = nil
+	x.query = nil
+	x.retry = nil
+	x.lookedUpSince = time.Time{}
+	x.noOwnerUntil = time.Time{}
 }
 
 // lookupState is the outcome of earlier steps of an owner lookup.
@@ -72,7 +88,7 @@
 		return
 	}
 	if len(list) > maxSequential {
-		g.startQuery(now, p, raw, list, complete)
+		g.startQuery(now, p, raw, s, list, complete)
 		return
 	}
 	flags := uint8(0)
@@ -222,6 +238,8 @@
 	conclusive bool
 	// proven is set if the list of agents included all that may hold the flow.
 	proven bool
+	// bounded is set if the lookup was a parallel one.
+	bounded bool
 }
 
 // retryOrReset schedules another lookup, or resets the flow if every agent that may hold it
@@ -255,12 +273,17 @@
 	if d.scheduled || len(g.retries) >= maxPendingRetries {
 		return
 	}
-	if d.tries >= maxLookupRetries {
+	switch {
+	case d.tries < maxLookupRetries:
+	case o.bounded && now.Before(x.callerUntil):
+		wait = retryDelay << min(d.tries-maxLookupRetries+1, maxBackoffShift)
+	default:
 		x.retry = nil
 		return
 	}
 	x.retry = d
 	d.tries++
+	d.bounded = o.bounded
 	d.retryAt = now.Add(wait)
 	d.denied = o.denied
 	d.joins = g.members.Joins()
--- a/internal/relay/router/query.go
+++ b/internal/relay/router/query.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/relay/lookup"
 	"github.com/clementinewing/clementinewing/internal/world/link"
 )
 
@@ -15,6 +16,8 @@
 // time. Only the agents that cannot tell without the packet then get it, in short lists in
 // parallel.
 const (
+	// forwardBytes is the size of a Forward without its packet and candidates.
+	forwardBytes = 31
 	// maxSequential is the largest number of candidates that a packet passes one after
 	// the other.
 	maxSequential = frame.MaxList
@@ -27,6 +30,15 @@
 	// after a query, and hopTimeout how long each of them may take.
 	maxListLength = 8
 	hopTimeout    = 10 * time.Millisecond
+	// With more than manyUndecided lookups whose packets wait for the byte budget or for busy
+	// agents, a packet travels along up to maxLongList candidates: the balancer sends and gets
+	// fewer copies of it, and its caller waits for the budget anyway.
+	manyUndecided = 8
+	maxLongList   = 32
+	// After maxHomeMisses lookups in a row whose home did not know the owner, all candidates are
+	// asked at once for homeMissPause: the homes have lost what they stored.
+	maxHomeMisses = 4
+	homeMissPause = time.Second
 	// maxHeldPackets bounds the packets of a flow held during a parallel lookup; the
 	// caller retransmits the others.
 	maxHeldPackets = 8
@@ -62,14 +74,27 @@
 	ListComplete bool
 }
 
+// OwnerBatch sends a batch of owner queries to an agent.
+type OwnerBatch struct {
+	To    frame.Host
+	Batch frame.OwnerBatch
+}
+
 // Denied is the answer to an owner query from an agent whose endpoint does not hold the
 // flow, or that cannot tell.
 type Denied struct {
 	frame.Denial
 }
 
-func (OwnerQuery) action() {}
-func (Denied) event()      {}
+// BatchAnswered is the answer to a batch of owner queries.
+type BatchAnswered struct {
+	frame.OwnerAnswers
+}
+
+func (OwnerQuery) action()   {}
+func (OwnerBatch) action()   {}
+func (Denied) event()        {}
+func (BatchAnswered) event() {}
 
 // query is a parallel lookup of a flow's owner among many endpoints.
 type query struct {
@@ -79,19 +104,17 @@
 	homePending bool
 	// held are packets of the flow; the first one started the lookup.
 	held []Packet
-	// awaiting are the agents that have not answered, undecided those that could not tell,
-	// and forwarded those that got the packet since. pendingLists counts the lists of
-	// forwarded agents whose packet has not come back.
-	awaiting     []frame.Host
-	undecided    []frame.Host
-	forwarded    []frame.Host
-	pendingLists int
-	// denied is set while every agent that was asked has denied the flow or may still do so.
-	// complete is set if every agent that this balancer knows is asked, proven if these are all
-	// that may own the flow.
-	denied   bool
-	complete bool
-	proven   bool
+	// asked is the flow as it is asked about in batches. unsent is set while its questions wait
+	// to be sent.
+	asked  *lookup.Flow
+	unsent bool
+	// awaiting are the agents that have not answered, undecided those that could not tell and
+	// have not got the packet, and forwarded those that got it.
+	awaiting  []frame.Host
+	undecided []frame.Host
+	forwarded []frame.Host
+	// lists are the lists of candidates whose packet has not come back.
+	lists [][]frame.Host
 	// deadline is when the current stage ends without further answers.
 	deadline time.Time
 }
@@ -122,13 +145,14 @@
 // before it answers.
 func (g *Router) addToQuery(now time.Time, q *query, p link.Packet, raw []byte) {
 	if q.hold(p, raw) {
-		g.forwardInLists(now, q, stageExtraPacket, q.forwarded, &q.held[len(q.held)-1])
+		g.forwardInLists(now, stageExtraPacket, q.forwarded, &q.held[len(q.held)-1])
 	}
 }
 
-// startQuery starts a parallel lookup: at the home of the flow if that is the first
-// candidate, else with a query to all.
-func (g *Router) startQuery(now time.Time, p link.Packet, raw []byte, list []frame.Host, complete bool) {
+// startQuery starts a parallel lookup among the candidates that have not denied the flow: at
+// the home of the flow if that is the first one and homes know the owners, else with a query to
+// all.
+func (g *Router) startQuery(now time.Time, p link.Packet, raw []byte, s lookupState, list []frame.Host, complete bool) {
 	x, ok := g.flows[p.Key]
 	if !ok {
 		x = g.addFlow(now, p.Key)
@@ -140,17 +164,24 @@
 		})
 		return
 	}
+	first := x.denials == nil
+	if first {
+		x.denials = lookup.NewDenials(p)
+	}
 	if x.lookedUpSince.IsZero() {
 		x.lookedUpSince = now
 	}
+	if s.denier != 0 && !s.undecided {
+		x.denials.Add(s.denier)
+	}
 	q := &query{
 		key: p.Key,
 	}
 	q.hold(p, raw)
 	x.query = q
 	g.queries = append(g.queries, q)
-	if list[0] != g.homeOf(now, p.Key) {
-		g.queryAll(now, q, list, complete)
+	if !first || list[0] != g.homeOf(now, p.Key) || now.Before(g.skipHomeUntil) || !g.asker.Ready(now) {
+		g.queryAll(now, x, list, complete)
 		return
 	}
 	q.homePending = true
@@ -161,6 +192,8 @@
 // forwardToList forwards a packet along one list of candidates.
 func (g *Router) forwardToList(now time.Time, stage uint8, list []frame.Host, flags uint8, p *Packet) {
 	latencyTarget, priority := g.routeTargets(p.Key)
+	// The packet comes back unless a candidate owns the flow.
+	g.asker.Charge(now, 2, 2*(len(p.Raw)+forwardBytes)+4*len(list))
 	g.addAction(Send{
 		To:     list[0],
 		Key:    p.Key,
@@ -180,18 +213,20 @@
 	})
 }
 
-// forwardInLists forwards a packet to candidates in short lists in parallel and returns
-// the number of lists. Each list stays in one failure domain: the packet crosses between
-// failure domains once for each list and not with each hop.
-func (g *Router) forwardInLists(now time.Time, q *query, stage uint8, hosts []frame.Host, p *Packet) (lists int) {
-	flags := uint8(frame.CandidateSilent)
-	if q.denied {
-		flags = frame.ListComplete
-	}
-	for _, group := range g.groupByZone(hosts) {
-		for list := range slices.Chunk(group, maxListLength) {
-			lists++
-			g.forwardToList(now, stage, slices.Clone(list), flags, p)
+// forwardInLists forwards a packet to candidates in lists in parallel and returns the lists.
+// Short lists stay in one failure domain: the packet crosses between failure domains once for
+// each list and not with each hop. In a long one the candidates of a failure domain follow each
+// other.
+func (g *Router) forwardInLists(now time.Time, stage uint8, hosts []frame.Host, p *Packet) (lists [][]frame.Host) {
+	groups, length := g.groupByZone(hosts), maxListLength
+	if g.undecidedCount > manyUndecided {
+		groups, length = [][]frame.Host{slices.Concat(groups...)}, maxLongList
+	}
+	for _, group := range groups {
+		for part := range slices.Chunk(group, length) {
+			list := slices.Clone(part)
+			lists = append(lists, list)
+			g.forwardToList(now, stage, list, frame.ListComplete, p)
 		}
 	}
 	return lists
@@ -216,33 +251,83 @@
 	return groups
 }
 
-// queryAll sends an owner query to all candidates.
-func (g *Router) queryAll(now time.Time, q *query, list []frame.Host, complete bool) {
+// queryAll asks all candidates that have not denied the flow whether they own it: in a batch
+// where the agent answers batches, else with an owner query of its own.
+func (g *Router) queryAll(now time.Time, x *flow, list []frame.Host, complete bool) {
+	q := x.query
 	g.queryCount++
 	q.id = g.queryCount
 	q.homePending = false
-	q.awaiting = list
-	q.denied = true
-	q.complete = complete
-	q.proven = g.recordProves(g.flows[q.key])
-	q.deadline = now.Add(queryTimeout)
+	q.awaiting = x.denials.Missing(list)
+	if len(q.awaiting) == 0 {
+		g.advanceQuery(now, x)
+		return
+	}
 	p := &q.held[0]
-	g.addAction(OwnerQuery{
-		To:           slices.Clone(list),
-		ListComplete: complete,
-		Query: frame.OwnerQuery{
-			QueryID:        q.id,
-			Balancer:       g.self,
+	var batched, single []frame.Host
+	for _, h := range q.awaiting {
+		if s := g.members.Agent(h); s != nil && s.AnswersBatches {
+			batched = append(batched, h)
+		} else {
+			single = append(single, h)
+		}
+	}
+	q.deadline = now.Add(queryTimeout)
+	if len(single) > 0 {
+		g.asker.ChargeSingles(now, len(single))
+		g.addAction(OwnerQuery{
+			To:           single,
+			ListComplete: complete,
+			Query: frame.OwnerQuery{
+				QueryID:        q.id,
+				Balancer:       g.self,
+				Key:            q.key,
+				Acknowledgment: p.Acknowledgment,
+				Acknowledges:   p.HasAck(),
+			},
+		})
+	}
+	if len(batched) == 0 {
+		return
+	}
+	q.unsent = true
+	q.asked = &lookup.Flow{
+		FlowQuery: frame.FlowQuery{
 			Key:            q.key,
 			Acknowledgment: p.Acknowledgment,
 			Acknowledges:   p.HasAck(),
 		},
-	})
+		Hosts:   batched,
+		Denials: x.denials,
+	}
+	g.asker.Ask(q.asked)
+	g.sendBatches(now)
+}
+
+// sendBatches sends the batches of owner queries that are due.
+func (g *Router) sendBatches(now time.Time) {
+	r := g.asker.Send(now)
+	for _, f := range r.Flows {
+		if x, ok := g.flows[f.Key]; ok && x.query != nil && x.query.asked == f {
+			x.query.unsent = false
+			x.query.deadline = now.Add(queryTimeout)
+		}
+	}
+	for _, b := range r.Questions {
+		g.addAction(OwnerBatch{
+			To:    b.To,
+			Batch: b.Batch,
+		})
+	}
 }
 
 // queryAfterHome continues a lookup whose home did not know the owner or did not answer.
 func (g *Router) queryAfterHome(now time.Time, x *flow) {
 	q := x.query
+	if g.homeMisses++; g.homeMisses >= maxHomeMisses {
+		g.homeMisses = 0
+		g.skipHomeUntil = now.Add(homeMissPause)
+	}
 	route, ok := g.route(q.key)
 	if !ok {
 		x.query = nil
@@ -254,7 +339,7 @@
 		x.query = nil
 		return
 	}
-	g.queryAll(now, q, list, complete)
+	g.queryAll(now, x, list, complete)
 }
 
 // handleDenial handles the answer of an agent that does not own the flow or cannot tell.
@@ -264,19 +349,52 @@
 	if !ok || x.query == nil || x.query.id != d.QueryID {
 		return
 	}
+	verdict := frame.CannotTell
+	switch {
+	case d.FlowEnded:
+		verdict = frame.Ended
+	case d.Conclusive:
+		verdict = frame.Denied
+	}
+	g.handleVerdict(now, x, d.Host, verdict)
+}
+
+// handleBatchAnswer handles an agent's answers to a batch.
+func (g *Router) handleBatchAnswer(now time.Time, m frame.OwnerAnswers) {
+	g.members.MarkAlive(m.Host)
+	for _, a := range g.asker.Receive(m) {
+		if x, ok := g.flows[a.Flow.Key]; ok && x.query != nil && x.query.asked == a.Flow {
+			g.handleVerdict(now, x, a.Host, a.Verdict)
+		}
+	}
+}
+
+// handleVerdict handles what an agent has answered about a flow that is being looked up.
+func (g *Router) handleVerdict(now time.Time, x *flow, h frame.Host, verdict frame.Verdict) {
 	q := x.query
-	at := slices.Index(q.awaiting, d.Host)
+	at := slices.Index(q.awaiting, h)
 	if at < 0 {
 		return
 	}
 	q.awaiting = slices.Delete(q.awaiting, at, at+1)
-	if d.FlowEnded {
+	switch verdict {
+	case frame.Owned:
+		g.handleHint(now, frame.Owner{
+			Key:  q.key,
+			Host: h,
+		})
+		return
+	case frame.Ended:
+		g.addAction(LookupSettled{
+			Outcome: LookupEnded,
+		})
 		x.query = nil
 		g.handleEndedFlow(now, x, q.held[0].Packet)
 		return
-	}
-	if !d.Conclusive {
-		q.undecided = append(q.undecided, d.Host)
+	case frame.Denied:
+		x.denials.Add(h)
+	default:
+		q.undecided = append(q.undecided, h)
 	}
 	if len(q.awaiting) == 0 {
 		g.advanceQuery(now, x)
@@ -291,26 +409,55 @@
 		g.forwardToUndecided(now, q)
 		return
 	}
-	if len(q.awaiting) > 0 || q.pendingLists > 0 {
+	if len(q.awaiting) > 0 || len(q.lists) > 0 {
 		return
 	}
 	x.query = nil
 	first := q.held[0]
+	route, ok := g.route(q.key)
+	if !ok {
+		g.rejectUnrouted(first.Packet)
+		return
+	}
+	list, complete := g.lookupCandidates(now, q.key, route)
+	denied := len(x.denials.Missing(list)) == 0
+	settled := LookupDenied
+	if !denied {
+		settled = LookupUnanswered
+	}
+	g.addAction(LookupSettled{
+		Outcome: settled,
+	})
 	g.recordNoOwner(now, x, first.Packet, first.Raw, outcome{
-		denied:     q.denied,
-		conclusive: q.denied && q.complete,
-		proven:     q.proven,
+		denied:     denied,
+		conclusive: denied && complete,
+		proven:     g.recordProves(x),
+		bounded:    true,
 	})
 }
 
+// forwardToUndecided forwards the packet to the agents that could not tell and that have no
+// more packets of other lookups than they may have, if the budget allows it.
 func (g *Router) forwardToUndecided(now time.Time, q *query) {
-	q.pendingLists += g.forwardInLists(now, q, q.stage(), q.undecided, &q.held[0])
+	if !g.asker.Ready(now) {
+		return
+	}
+	hosts := g.packets.Available(q.undecided)
+	if len(hosts) == 0 {
+		return
+	}
+	longest := 0
+	for _, list := range g.forwardInLists(now, q.stage(), hosts, &q.held[0]) {
+		g.packets.Add(list)
+		q.lists = append(q.lists, list)
+		longest = max(longest, len(list))
+	}
 	for i := range q.held[1:] {
-		g.forwardInLists(now, q, stageExtraPacket, q.undecided, &q.held[1+i])
+		g.forwardInLists(now, stageExtraPacket, hosts, &q.held[1+i])
 	}
-	q.forwarded = append(q.forwarded, q.undecided...)
-	q.undecided = nil
-	q.deadline = now.Add(queryTimeout + maxListLength*hopTimeout)
+	q.forwarded = append(q.forwarded, hosts...)
+	q.undecided = slices.DeleteFunc(q.undecided, func(h frame.Host) bool { return slices.Contains(hosts, h) })
+	q.deadline = now.Add(queryTimeout + time.Duration(max(longest, maxListLength))*hopTimeout)
 }
 
 // handleQueryReturn handles a packet of a parallel lookup that a list of candidates
@@ -323,9 +470,19 @@
 	switch {
 	case q.homePending && e.LookupStage == stageHome:
 		g.queryAfterHome(now, x)
-	case !q.homePending && e.LookupStage == q.stage() && q.pendingLists > 0:
-		q.pendingLists--
-		q.denied = q.denied && e.Conclusive
+	case !q.homePending && e.LookupStage == q.stage():
+		at := slices.IndexFunc(q.lists, func(list []frame.Host) bool { return slices.Contains(list, e.Host) })
+		if at < 0 {
+			return
+		}
+		list := q.lists[at]
+		q.lists = slices.Delete(q.lists, at, at+1)
+		g.packets.Remove(list)
+		for _, h := range list {
+			if e.Conclusive {
+				x.denials.Add(h)
+			}
+		}
 		g.advanceQuery(now, x)
 	}
 }
@@ -334,9 +491,17 @@
 func (g *Router) deliverHeld(now time.Time, x *flow) {
 	q := x.query
 	x.query = nil
+	x.denials = nil
 	if q == nil {
 		return
 	}
+	settled := LookupFound
+	if q.homePending {
+		settled = LookupFoundByHome
+	}
+	g.addAction(LookupSettled{
+		Outcome: settled,
+	})
 	held := q.held
 	switch {
 	case slices.Contains(q.forwarded, x.owners[0].host):
@@ -345,6 +510,7 @@
 	case q.homePending:
 		// The home has already forwarded the first one to the owner.
 		held = held[1:]
+		g.homeMisses = 0
 	}
 	for _, p := range held {
 		if host := x.ownerOf(p.Packet); host != 0 {
@@ -356,26 +522,51 @@
 // checkQueries advances the parallel lookups in progress. The packet goes to the agents
 // that could not tell without waiting for all answers, and a stage ends at its deadline.
 func (g *Router) checkQueries(now time.Time) {
+	g.asker.Expire(now)
 	watched := g.queries
 	g.queries = nil
+	undecided := 0
 	for _, q := range watched {
 		x, ok := g.flows[q.key]
 		if !ok || x.query != q {
+			g.abandonQuery(q)
 			continue
 		}
-		switch overdue := !now.Before(q.deadline); {
+		switch overdue := !q.unsent && !now.Before(q.deadline); {
 		case overdue && q.homePending:
 			g.queryAfterHome(now, x)
 		case overdue:
-			q.denied = q.denied && len(q.awaiting) == 0 && q.pendingLists == 0
 			q.awaiting = nil
-			q.pendingLists = 0
+			g.removeLists(q)
 			g.advanceQuery(now, x)
 		case len(q.undecided) > 0:
 			g.advanceQuery(now, x)
 		}
+		if len(q.undecided) > 0 {
+			undecided++
+		}
 		if x.query == q {
 			g.queries = append(g.queries, q)
+		} else {
+			g.abandonQuery(q)
 		}
 	}
+	g.undecidedCount = undecided
+	g.sendBatches(now)
+}
+
+// abandonQuery releases what a query that has ended still holds.
+func (g *Router) abandonQuery(q *query) {
+	g.removeLists(q)
+	if q.unsent {
+		g.asker.Cancel(q.asked)
+	}
+}
+
+// removeLists gives up the packets that have not come back.
+func (g *Router) removeLists(q *query) {
+	for _, list := range q.lists {
+		g.packets.Remove(list)
+	}
+	q.lists = nil
 }
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/relay/lookup"
 	"github.com/clementinewing/clementinewing/internal/relay/place"
 	"github.com/clementinewing/clementinewing/internal/relay/plan"
 	"github.com/clementinewing/clementinewing/internal/relay/roster"
@@ -49,6 +50,10 @@
 	// maxLookupRetries bounds the repeated lookups of a flow to about a second, in which
 	// every agent reports after an outage.
 	maxLookupRetries = 6
+	// maxBackoffShift bounds the interval between further repetitions of a parallel lookup,
+	// which doubles from retryDelay: a lookup that cannot be settled is repeated a few times in
+	// the longest lifetime of a flow.
+	maxBackoffShift = 8
 	// maxPendingRetries bounds the packets kept for repeated lookups.
 	maxPendingRetries = 2048
 	// startupTimeout is how long after its start a balancer that knows no endpoint drops
@@ -58,7 +63,7 @@
 	maxFlows = 60_000
 )
 
-// Event is Packet, Hint, Returned, Denied or Tick.
+// Event is Packet, Hint, Returned, Denied, BatchAnswered or Tick.
 type Event interface{ event() }
 
 // Packet is a packet of a caller. Raw is not kept after Step returns.
@@ -87,7 +92,8 @@
 func (Returned) event() {}
 func (Tick) event()     {}
 
-// Action is Send, OwnerQuery, ReadRecord, Refuse, Reset, Drop or OwnerFound.
+// Action is Send, OwnerQuery, OwnerBatch, LookupSettled, ReadRecord, Refuse, Reset, Drop or
+// OwnerFound.
 type Action interface{ action() }
 
 // Send forwards a packet to an agent.
@@ -151,6 +157,10 @@
 	// lookedUpSince is when the lookup of the owner began; zero while there is none. The flow
 	// is older, so a member record that was read later lists its owner.
 	lookedUpSince time.Time
+	// denials are the agents that have denied the flow in parallel lookups, or nil.
+	denials *lookup.Denials
+	// callerUntil is until when the caller counts as waiting: it retransmits its packets.
+	callerUntil time.Time
 	// query is the parallel lookup in progress, or nil.
 	query *query
 	// retry is the lookup to repeat, or nil.
@@ -188,6 +198,16 @@
 	// queries are the parallel lookups in progress; queryCount counts all that were made.
 	queries    []*query
 	queryCount uint32
+	// asker sends the owner queries to agents that answer batches, packets counts the packets
+	// that agents have to find out whether they own a flow. undecidedCount is the number of
+	// lookups with agents that wait for the packet.
+	asker          *lookup.Asker
+	packets        *lookup.Packets
+	undecidedCount int
+	// homeMisses counts the lookups since one whose home knew the owner. Homes are not asked
+	// before skipHomeUntil.
+	homeMisses    int
+	skipHomeUntil time.Time
 	// loads caches the average load of each service.
 	loads   map[spec.ServiceID]serviceLoad
 	sweepAt time.Time
@@ -216,6 +236,8 @@
 		active:    active,
 		flows:     map[link.Key]*flow{},
 		loads:     map[spec.ServiceID]serviceLoad{},
+		asker:     lookup.NewAsker(self),
+		packets:   lookup.NewPackets(),
 	}
 	for _, o := range options {
 		o(g)
@@ -245,6 +267,8 @@
 		g.handleReturn(now, e)
 	case Denied:
 		g.handleDenial(now, e.Denial)
+	case BatchAnswered:
+		g.handleBatchAnswer(now, e.OwnerAnswers)
 	case Tick:
 		g.handleTick(now)
 	}
@@ -265,6 +289,8 @@
 		g.lookupOwner(now, p.Packet, p.Raw, lookupState{})
 		return
 	}
+	x.forgetOtherLookup(p.Packet)
+	x.callerUntil = now.Add(openingTTL)
 	if now.Before(x.noOwnerUntil) && !wantsAnswer(p.Packet) {
 		g.addAction(Drop{
 			Packet: p.Packet,
@@ -280,7 +306,7 @@
 		x.pending = nil
 	}
 	host := x.ownerOf(p.Packet)
-	if x.retry.awaitsProof() && host == 0 {
+	if x.retry.repeatsItself() && host == 0 {
 		g.addAction(Drop{
 			Packet: p.Packet,
 			Reason: OwnerUnknown,
