--- a/internal/relay/agent/state.go
+++ b/internal/relay/agent/state.go
@@ -45,9 +45,14 @@
 	probes         uint64
 	suspicions     uint64
 	malformed      uint64
-	sendErrors     uint64
-	storeCalls     uint64
-	storeFailures  uint64
+	// ownerBatches counts batches of owner queries, ownerFlows the flows in them and verdicts
+	// the answers.
+	ownerBatches  uint64
+	ownerFlows    uint64
+	verdicts      [frame.VerdictCount]uint64
+	sendErrors    uint64
+	storeCalls    uint64
+	storeFailures uint64
 	// evacuationChanges counts how often the failure domain was evacuated or in use again, or the
 	// rate of cold endpoints changed.
 	evacuationChanges uint64
@@ -74,6 +79,8 @@
 		{Name: "endpoint_probes", Value: c.probes},
 		{Name: "endpoint_suspicions", Value: c.suspicions},
 		{Name: "malformed", Value: c.malformed},
+		{Name: "owner_batches", Value: c.ownerBatches},
+		{Name: "owner_batch_flows", Value: c.ownerFlows},
 		{Name: "send_errors", Value: c.sendErrors},
 		{Name: "store_calls", Value: c.storeCalls},
 		{Name: "store_failures", Value: c.storeFailures},
@@ -86,6 +93,13 @@
 			meter.Total{Name: "given_back", Reason: r.String(), Value: c.returned[r]},
 		)
 	}
+	for v := range frame.VerdictCount {
+		s.Totals = append(s.Totals, meter.Total{
+			Name:   "owner_answers",
+			Reason: v.String(),
+			Value:  c.verdicts[v],
+		})
+	}
 	s.Levels = []meter.Level{
 		{Name: "in_use", Value: float64(a.controller.InUse())},
 		{Name: "flows", Value: float64(a.controller.Flows())},
@@ -112,6 +126,13 @@
 	return 0
 }
 
+// countAnswers counts the answers to a batch of owner queries.
+func (a *Agent) countAnswers(verdicts []frame.Verdict) {
+	for _, v := range verdicts {
+		a.counts.verdicts[v]++
+	}
+}
+
 // State is the published state of an agent.
 type State struct {
 	Service string `json:"service"`
--- a/internal/relay/frame/codec.go
+++ b/internal/relay/frame/codec.go
@@ -53,6 +53,10 @@
 		return append(out, magic, version, kindRegistration, byte(m.Status))
 	case Evacuations:
 		return appendEvacuations(out, &m)
+	case OwnerBatch:
+		return appendOwnerBatch(out, m)
+	case OwnerAnswers:
+		return appendOwnerAnswers(out, m)
 	default:
 		return out
 	}
@@ -181,6 +185,10 @@
 		}
 	case kindEvacuations:
 		m = r.evacuations()
+	case kindOwnerBatch:
+		m = r.ownerBatch()
+	case kindOwnerAnswers:
+		m = r.ownerAnswers()
 	default:
 		return nil, ErrUnknownFormat
 	}
@@ -339,6 +347,7 @@
 		IntervalMS:      r.uint16(),
 	}
 	if bits&bit7 != 0 {
+		m.AnswersBatches = true
 		m.Evacuations = r.uint64()
 		m.ServiceTimeMS = r.uint16()
 		m.Refusals = r.uint16()
--- a/internal/relay/frame/frame.go
+++ b/internal/relay/frame/frame.go
@@ -31,7 +31,7 @@
 	// kindRegistration is unknown to earlier releases, which drop it.
 	kindRegistration = 9
 	// kindEvacuations is unknown to earlier releases, which drop it.
-	kindEvacuations = 12
+	kindEvacuations = 10
 
 	headerBytes = 3
 	// MaxList limits the candidate list that a balancer sends.
@@ -49,7 +49,8 @@
 )
 
 // Message is the content of one datagram: *Forward, Return, Owner, LoadReport,
-// Heartbeat, MemberList, OwnerQuery, Denial, Registration or Evacuations.
+// Heartbeat, MemberList, OwnerQuery, Denial, Registration, Evacuations, OwnerBatch or
+// OwnerAnswers.
 type Message interface{ message() }
 
 // Host is the IPv4 address of a balancer or agent. All processes use the same ports.
@@ -219,6 +220,9 @@
 	// Refusals counts the SYNs that the endpoint has refused or left unanswered since it last
 	// accepted one, except those that it refused because it was full.
 	Refusals uint16
+	// AnswersBatches reports that the agent answers an OwnerBatch. Decode sets it for agents that
+	// send the fields from Evacuations on; those of earlier releases do not.
+	AnswersBatches bool
 }
 
 // SuspectRefusals is the value of LoadReport.Refusals from which on the endpoint is a suspect: it
