--- a/internal/relay/agent/fleet.go
+++ b/internal/relay/agent/fleet.go
@@ -161,8 +161,9 @@
 			return
 		case <-ticker.C:
 		}
-		now := time.Now()
 		a.mutex.Lock()
+		// Not before the lock: the agent may be frozen while it waits, and must notice.
+		now := time.Now()
 		a.execute(a.controller.Step(now, admit.Tick{}))
 		if now.After(reportAt) {
 			reportAt = now.Add(roster.ReportInterval(len(a.balancers.Hosts())))
--- a/internal/relay/agent/packets.go
+++ b/internal/relay/agent/packets.go
@@ -178,18 +178,22 @@
 		case admit.ReportRefused:
 			a.recordReportRefused(x)
 		case admit.EvacuationChanged:
-			a.counts.evacuationChanges++
-			a.logEvacuationChange(x)
+			a.recordEvacuationChange(x)
 		case admit.StateChanged:
-			a.logStateChange(x)
-			a.sendReportsNow()
-			if x.Reason == admit.OpeningUnanswered || x.Reason == admit.EndpointRefused {
-				go a.probeEndpoint()
-			}
+			a.handleStateChange(x)
 		}
 	}
 }
 
+// handleStateChange tells balancers at once, and checks an endpoint that does not take SYNs.
+func (a *Agent) handleStateChange(c admit.StateChanged) {
+	a.logStateChange(c)
+	a.sendReportsNow()
+	if c.Reason == admit.OpeningUnanswered || c.Reason == admit.EndpointRefused {
+		go a.probeEndpoint()
+	}
+}
+
 func (a *Agent) sendToCaller(k link.Key, raw []byte) {
 	if _, err := a.outbound.WriteToUDPAddrPort(raw, a.codec.Caller(k)); err != nil {
 		a.counts.sendErrors++
--- a/internal/relay/agent/serve.go
+++ b/internal/relay/agent/serve.go
@@ -147,7 +147,8 @@
 		Msg("report refused: it may come from an endpoint that has ended")
 }
 
-func (a *Agent) logEvacuationChange(c admit.EvacuationChanged) {
+func (a *Agent) recordEvacuationChange(c admit.EvacuationChanged) {
+	a.counts.evacuationChanges++
 	a.log.Important.Info().
 		Str("zone", a.settings.Zone).
 		Bool("evacuated", c.Evacuated).
--- a/internal/relay/evac/evac_test.go
+++ b/internal/relay/evac/evac_test.go
@@ -214,28 +214,88 @@
 	}
 }
 
-var _ = Describe("Version", func() {
-	It("differs if the set or the rate differs, and not with the store's revision", func() {
-		var s evac.Set
+var _ = Describe("Source", func() {
+	const plansVersion = 3
+	start := time.UnixMilli(0)
+	newSource := func(zones ...evac.Zone) *evac.Source {
+		s := &evac.Source{}
+		s.Run(start)
 		s.Observe(plan.Position{
 			Era:      1,
 			Revision: 1,
-		}, []evac.Zone{1})
-		first := evac.Version(s.Frame(), 2)
-		s.Observe(plan.Position{
-			Era:      1,
-			Revision: 2,
-		}, []evac.Zone{1})
-		Expect(evac.Version(s.Frame(), 2)).To(Equal(first))
-		Expect(evac.Version(s.Frame(), 3)).NotTo(Equal(first))
-		s.Observe(plan.Position{
-			Era:      1,
-			Revision: 3,
-		}, nil)
+		}, zones)
+		return s
+	}
+	question := evac.Question{
+		Reported:    7,
+		ColdRate:    2,
+		PlanVersion: plansVersion,
+		AskedAt:     start,
+		HearsMost:   true,
+	}
+
+	It("answers an agent that names another version, once", func() {
+		s := newSource(1)
+		answer, ok := s.Answer(start, question)
+		Expect(ok).To(BeTrue())
+		q := question
+		q.Reported = answer.Version
+		_, ok = s.Answer(start, q)
+		Expect(ok).To(BeFalse())
 		s.Observe(plan.Position{
 			Era:      1,
-			Revision: 4,
+			Revision: 9,
 		}, []evac.Zone{1})
-		Expect(evac.Version(s.Frame(), 2)).NotTo(Equal(first))
+		_, ok = s.Answer(start, q)
+		Expect(ok).To(BeFalse(), "the store holds other changes only")
+		for revision, zones := range [][]evac.Zone{nil, {1}} {
+			s.Observe(plan.Position{
+				Era:      1,
+				Revision: uint64(10 + revision),
+			}, zones)
+			_, ok = s.Answer(start, q)
+			Expect(ok).To(BeTrue(), "withdrawn and evacuated again since")
+		}
+		q.ColdRate = 3
+		_, ok = s.Answer(start, q)
+		Expect(ok).To(BeTrue())
+	})
+
+	It("tells that the store is lost only if it hears the others", func() {
+		for _, hears := range []bool{true, false} {
+			q := question
+			q.HearsMost = hears
+			answer, _ := newSource().Answer(start.Add(2500*time.Millisecond), q)
+			Expect(answer.StoreLost).To(BeFalse())
+			answer, _ = newSource().Answer(start.Add(2501*time.Millisecond), q)
+			Expect(answer.StoreLost).To(Equal(hears))
+		}
+	})
+
+	// Guards against the age of a set in heartbeats that were sent before the freeze.
+	It("answers nobody and believes no age right after it was frozen", func() {
+		s := newSource()
+		heartbeat := &frame.Heartbeat{
+			Evacuations: s.Told(),
+		}
+		woken := start.Add(1001 * time.Millisecond)
+		s.Run(woken)
+		_, ok := s.Answer(woken, question)
+		Expect(ok).To(BeFalse())
+		Expect(s.TellsStoreAge(woken.Add(499*time.Millisecond), heartbeat)).To(BeFalse())
+		Expect(s.TellsStoreAge(woken.Add(500*time.Millisecond), heartbeat)).To(BeTrue())
+		Expect(s.TellsStoreAge(woken.Add(time.Minute), &frame.Heartbeat{})).To(BeFalse(), "of an earlier release")
+	})
+
+	It("answers nobody without a set, without a plan, or who does not follow evacuations", func() {
+		_, ok := (&evac.Source{}).Answer(start, question)
+		Expect(ok).To(BeFalse())
+		for _, q := range []evac.Question{
+			{PlanVersion: plansVersion},
+			{Reported: 7},
+		} {
+			_, ok = newSource().Answer(start, q)
+			Expect(ok).To(BeFalse())
+		}
 	})
 })
--- a/internal/relay/frame/frame_test.go
+++ b/internal/relay/frame/frame_test.go
@@ -12,6 +12,24 @@
 	"github.com/clementinewing/clementinewing/internal/world/node"
 )
 
+var evacuationSet = frame.EvacuationSet{
+	Era:          1,
+	Revision:     2,
+	Changed:      3,
+	BaseEra:      4,
+	BaseRevision: 5,
+	Zones: []frame.EvacuatedZone{
+		{
+			Zone:  6,
+			Flags: frame.ZoneListed | frame.ZoneSeen,
+		},
+		{
+			Zone:  7,
+			Flags: frame.ZoneCarried,
+		},
+	},
+}
+
 // messages returns one message of each kind with every field set.
 func messages() []frame.Message {
 	return []frame.Message{
@@ -37,6 +55,7 @@
 			Conclusive:    true,
 			ListExhausted: true,
 			FlowEnded:     true,
+			Evacuated:     true,
 			LookupStage:   2,
 			Packet:        []byte("packet"),
 		},
@@ -91,6 +110,16 @@
 			Leaving:      true,
 			StoreLost:    true,
 			WantsMembers: true,
+			Evacuations:  &evacuationSet,
+		},
+		frame.Evacuations{
+			Version:     1,
+			Answers:     2,
+			AgeMS:       3,
+			StoreLost:   true,
+			PlanVersion: 4,
+			ColdRate:    5.5,
+			Set:         evacuationSet,
 		},
 		frame.MemberList{
 			Balancers: []frame.Host{1, 2},
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -85,6 +85,14 @@
 	// recordCalledAt is when the latest store call started that has shown a complete member
 	// record.
 	recordCalledAt time.Time
+	// excludesZone is nil or reports whether the endpoints of a failure domain get no new flows.
+	excludesZone func(zone uint64) bool
+}
+
+// ExcludeZones leaves the endpoints of failure domains that get no new flows out of the averages
+// of their services.
+func (r *Roster) ExcludeZones(excluded func(zone uint64) bool) {
+	r.excludesZone = excluded
 }
 
 // New returns an empty roster of the balancer at self.
@@ -211,7 +219,8 @@
 func (r *Roster) averagePerSlot(now time.Time, id spec.ServiceID, figure func(s *Agent) int) uint16 {
 	sum, slots := 0, 0
 	for _, s := range r.services[id] {
-		if s.AcceptsFlows(now) && s.Proven {
+		excluded := r.excludesZone != nil && r.excludesZone(s.Zone)
+		if s.AcceptsFlows(now) && s.Proven && !excluded {
 			sum += figure(s)
 			slots += int(s.Slots)
 		}
--- a/internal/relay/router/evacuation.go
+++ b/internal/relay/router/evacuation.go
@@ -18,6 +18,7 @@
 func WithEvacuations(s *evac.Source) Option {
 	return func(g *Router) {
 		g.evacuations = s
+		g.members.ExcludeZones(func(zone uint64) bool { return s.Evacuated(evac.Zone(zone)) })
 	}
 }
 
