--- a/internal/relay/admit/evacuation.go
+++ b/internal/relay/admit/evacuation.go
@@ -147,6 +147,14 @@
 	}
 }
 
+// recordSameIncarnation records that the endpoint has sent a packet of a flow that it took at the
+// given time.
+func (h *Controller) recordSameIncarnation(acceptedAt time.Time) {
+	if h.evacuation != nil {
+		h.evacuation.limiter.RunsSince(acceptedAt)
+	}
+}
+
 func (h *Controller) reportWarmth(now, coldUntil time.Time) {
 	if h.evacuation != nil {
 		h.evacuation.limiter.Report(now, coldUntil)
--- a/internal/relay/admit/flow.go
+++ b/internal/relay/admit/flow.go
@@ -34,6 +34,8 @@
 	highest      uint32
 	initialKnown bool
 	queued       bool
+	// acceptedAt is when the endpoint answered the SYN; zero if that is not known.
+	acceptedAt time.Time
 	// adopted is set if the answer to the flow's SYN did not pass this process.
 	adopted bool
 	// unverified is set when the endpoint has restarted since its last packet of the flow,
@@ -181,7 +183,10 @@
 	case p.Flags&flagSyn != 0:
 		h.recordOpeningAnswer(now, f, p)
 		return
-	case !f.initialKnown:
+	case !p.IsReset():
+		h.recordSameIncarnation(f.acceptedAt)
+	}
+	if !f.initialKnown {
 		f.initialKnown = true
 		f.initial = p.Sequence - 1
 		f.highest = p.Sequence
@@ -249,6 +254,7 @@
 	}
 	h.endpoint.refusedOpening = false
 	f.initialKnown = true
+	f.acceptedAt = now
 	f.initial = p.Sequence
 	f.highest = p.Sequence + 1
 	h.openFlows++
--- a/internal/relay/warm/warm.go
+++ b/internal/relay/warm/warm.go
@@ -47,8 +47,10 @@
 	// started anew since the last one.
 	coldUntil  time.Time
 	unreported bool
-	// aliveAt is when the endpoint last showed that it runs.
-	aliveAt time.Time
+	// aliveAt is when the endpoint last showed that it runs, knownUntil what that was when the
+	// report was first missed.
+	aliveAt    time.Time
+	knownUntil time.Time
 	// rampUntil is when the ramp of the share ends.
 	rampUntil time.Time
 }
@@ -74,7 +76,7 @@
 	if now.Sub(w.aliveAt) > minRestartTime {
 		// An endpoint that shows nothing for that long may have started anew without anybody
 		// having noticed.
-		w.unreported = true
+		w.Suspect()
 	}
 	kept := 0
 	for kept < len(w.delivered) && now.Sub(w.delivered[kept]) > window {
@@ -106,7 +108,18 @@
 // Suspect records that another incarnation of the endpoint may have started, which is cold and
 // has not reported yet.
 func (w *Limiter) Suspect() {
-	w.unreported = true
+	if !w.unreported {
+		w.unreported = true
+		w.knownUntil = w.aliveAt
+	}
+}
+
+// RunsSince records that the endpoint still runs that ran at the given time: it has sent a packet
+// of a flow that it took then.
+func (w *Limiter) RunsSince(at time.Time) {
+	if !at.IsZero() && !at.After(w.knownUntil) {
+		w.unreported = false
+	}
 }
 
 // StartRamp starts the ramp of the endpoint's share.
