--- a/internal/relay/agent/packets.go
+++ b/internal/relay/agent/packets.go
@@ -182,8 +182,7 @@
 		case admit.ReportRefused:
 			a.recordReportRefused(x)
 		case admit.EvacuationChanged:
-			a.counts.evacuationChanges++
-			a.logEvacuationChange(x)
+			a.recordEvacuationChange(x)
 		case admit.SuspicionChanged:
 			a.applySuspicion(x)
 		case admit.StateChanged:
--- a/internal/relay/frame/frame_test.go
+++ b/internal/relay/frame/frame_test.go
@@ -26,6 +26,24 @@
 	}
 }
 
+var evacuationSet = frame.EvacuationSet{
+	Era:          1,
+	Revision:     2,
+	Changed:      3,
+	BaseEra:      4,
+	BaseRevision: 5,
+	Zones: []frame.EvacuatedZone{
+		{
+			Zone:  6,
+			Flags: frame.ZoneListed | frame.ZoneSeen,
+		},
+		{
+			Zone:  7,
+			Flags: frame.ZoneCarried,
+		},
+	},
+}
+
 // messages returns one message of each kind with every field set.
 func messages() []frame.Message {
 	return []frame.Message{
@@ -51,6 +69,7 @@
 			Conclusive:    true,
 			ListExhausted: true,
 			FlowEnded:     true,
+			Evacuated:     true,
 			LookupStage:   2,
 			Packet:        []byte("packet"),
 		},
@@ -106,6 +125,16 @@
 			Leaving:      true,
 			StoreLost:    true,
 			WantsMembers: true,
+			Evacuations:  &evacuationSet,
+		},
+		frame.Evacuations{
+			Version:     1,
+			Answers:     2,
+			AgeMS:       3,
+			StoreLost:   true,
+			PlanVersion: 4,
+			ColdRate:    5.5,
+			Set:         evacuationSet,
 		},
 		frame.MemberList{
 			Balancers: []frame.Host{1, 2},
