router: ask agents one by one once a packet was lost on its way along them

With planned restarts of all balancers and then of all agents, packets of open flows reached other endpoints for over two seconds and their own not at all. A balancer that does not know the owner passes the packet along a list of candidates; an agent in it that has just stopped does not pass it on, and each retransmission took the same way. If a packet has had no result within 180 ms, the next one is preceded by a question to each agent.

--- a/internal/relay/router/lookup.go
+++ b/internal/relay/router/lookup.go
@@ -87,7 +87,7 @@
 		})
 		return
 	}
-	if len(list) > maxSequential {
+	if len(list) > maxSequential || g.passLost(now, p.Key) {
 		g.startQuery(now, p, raw, s, list, complete)
 		return
 	}
@@ -118,6 +118,28 @@
 	})
 }
 
+// passTimeout is how long a packet may take to pass all of its candidates. It is shorter than the
+// caller's first retransmission interval, 200 ms.
+const passTimeout = 180 * time.Millisecond
+
+// passLost reports whether an earlier packet of the flow was passed along the candidates and has
+// had no result in time. An agent that has just stopped does not pass the packet on, and the next
+// packet would be lost at the same agent, before it reaches the owner. Each agent is then asked by
+// itself. Otherwise the packet is about to be passed, and passLost records when.
+func (g *Router) passLost(now time.Time, key link.Key) bool {
+	x, ok := g.flows[key]
+	if !ok {
+		x = g.addFlow(now, key)
+	}
+	if x == nil {
+		return false
+	}
+	if x.passedAt.IsZero() {
+		x.passedAt = now
+	}
+	return now.After(x.passedAt.Add(passTimeout))
+}
+
 // wantsAnswer reports whether the caller waits for an answer to the packet: it carries
 // payload or a FIN. A bare ACK or a reset is not answered.
 func wantsAnswer(p link.Packet) bool {
@@ -209,6 +231,7 @@
 
 // recordNoOwner handles a lookup that found no owner.
 func (g *Router) recordNoOwner(now time.Time, x *flow, p link.Packet, raw []byte, o outcome) {
+	x.passedAt = time.Time{}
 	if x.lookedUpSince.IsZero() {
 		x.lookedUpSince = now
 	}
--- a/internal/relay/router/owner.go
+++ b/internal/relay/router/owner.go
@@ -75,6 +75,7 @@
 	}
 	x.retry = nil
 	x.lookedUpSince = time.Time{}
+	x.passedAt = time.Time{}
 	x.noOwnerUntil = time.Time{}
 	next := owner{
 		host:            o.Host,
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -165,6 +165,9 @@
 	denials *lookup.Denials
 	// callerUntil is until when the caller counts as waiting: it retransmits its packets.
 	callerUntil time.Time
+	// passedAt is when a packet of the flow was first passed along the candidates without a
+	// result since; zero if there was none.
+	passedAt time.Time
 	// query is the parallel lookup in progress, or nil.
 	query *query
 	// retry is the lookup to repeat, or nil.
