health, place: keep flows in their failure domain until its slots are used up

Placement added a fixed cost for other failure domains. Flows left a domain that had free slots, and a domain without any sent them to whichever looked the least loaded.

With outlier detection, a balancer computes for each service which share of new flows leaves its domain: none up to 0.7 of the slots in use, then more, in proportion to the free slots elsewhere. The last two candidates of a list are in another domain, so that a SYN gets there when the endpoints of its own domain have no free slot.

--- a/internal/relay/entry/state.go
+++ b/internal/relay/entry/state.go
@@ -86,6 +86,7 @@
 	s.Levels = []meter.Level{
 		{Name: "members_unreachable", Value: unreachable},
 		{Name: "suspect_endpoints", Value: float64(suspects)},
+		{Name: "spill_share", Value: b.router.SpillShare()},
 		{Name: "outlier_endpoints", Value: float64(b.router.LowCapacity())},
 		{Name: "flows", Value: float64(b.router.Flows())},
 		{Name: "side_processes", Value: float64(len(b.members.PresentAgents()))},
@@ -110,11 +111,13 @@
 
 // State is the published state of a balancer.
 type State struct {
-	PlanVersion  uint64       `json:"plan_version"`
-	PlanRevision uint64       `json:"plan_revision"`
-	StoreAgeMS   int64        `json:"store_answer_age_ms"`
-	Balancers    []string     `json:"balancers"`
-	Agents       []AgentState `json:"side_processes"`
+	PlanVersion  uint64 `json:"plan_version"`
+	PlanRevision uint64 `json:"plan_revision"`
+	StoreAgeMS   int64  `json:"store_answer_age_ms"`
+	// SpillShare is the largest share of new flows of a service that leave the failure domain.
+	SpillShare float64      `json:"spill_share"`
+	Balancers  []string     `json:"balancers"`
+	Agents     []AgentState `json:"side_processes"`
 }
 
 // AgentState is the published state of one agent as the balancer knows it.
@@ -148,6 +151,7 @@
 		PlanVersion:  b.activePlan.Version(),
 		PlanRevision: b.activePlan.Revision(),
 		StoreAgeMS:   b.storeAge().Milliseconds(),
+		SpillShare:   b.router.SpillShare(),
 	}
 	for _, h := range b.members.Balancers() {
 		s.Balancers = append(s.Balancers, h.String())
--- a/internal/relay/fault/deployment_test.go
+++ b/internal/relay/fault/deployment_test.go
@@ -49,6 +49,8 @@
 	agents         []*agent
 	packets        []link.Packet
 	features       place.Features
+	// zones is the number of failure domains; 0 is one.
+	zones uint64
 	// slots is the number that every endpoint reports.
 	slots  uint16
 	caller *caller
@@ -206,6 +208,11 @@
 	}
 }
 
+// zoneOf returns the failure domain of the process with an index.
+func (d *deployment) zoneOf(index frame.Host) uint64 {
+	return 1 + uint64(index)%max(d.zones, 1)
+}
+
 func (d *deployment) raw(p link.Packet) []byte {
 	d.packets = append(d.packets, p)
 	return binary.BigEndian.AppendUint32(nil, uint32(len(d.packets)-1))
@@ -244,7 +251,7 @@
 	b.recordWanted = false
 	b.members = roster.New(b.host)
 	b.record = roster.NewRecord(d.clock.Now())
-	b.router = router.New(b.host, 1, d.clock.Now(), b.members, &d.activePlan, router.WithFeatures(d.features))
+	b.router = router.New(b.host, d.zoneOf(b.host-firstBalancer), d.clock.Now(), b.members, &d.activePlan, router.WithFeatures(d.features))
 	b.receiveHeartbeats()
 	b.readRecord(true)
 }
@@ -387,7 +394,7 @@
 	l := s.controller.Load(s.deployment.clock.Now())
 	l.Process = s.process
 	l.Sequence = s.sequence
-	l.Zone = 1
+	l.Zone = s.deployment.zoneOf(s.host - 1)
 	l.IntervalMS = uint16(loadReportInterval.Milliseconds())
 	registered := b.members.Registered(s.host)
 	b.members.ApplyReport(s.deployment.clock.Now(), l)
--- a/internal/relay/fault/load_test.go
+++ b/internal/relay/fault/load_test.go
@@ -23,6 +23,8 @@
 	// more than slowOpening.
 	opened, refused, slow int
 	answered              int
+	// entryZone, if set, is the failure domain of the balancers that get the packets.
+	entryZone uint64
 	// took is the time from the SYNs to the answers.
 	took time.Duration
 }
@@ -131,6 +133,9 @@
 	p.Key = c.key
 	raw := d.raw(p)
 	b := d.balancers[d.random.IntN(len(d.balancers))]
+	for l.entryZone != 0 && d.zoneOf(b.host-firstBalancer) != l.entryZone {
+		b = d.balancers[d.random.IntN(len(d.balancers))]
+	}
 	d.clock.After(hopDelay, func() {
 		b.step(router.Packet{
 			Packet: p,
@@ -265,6 +270,20 @@
 			Expect(refusedBy(lost) - refusedAtFirst).To(BeNumerically("<=", 9*2*lostEndpoints))
 		})
 
+		It("loses no caller when the load reports are lost of a sixth that dies and "+name, func() {
+			d := newLoadedDeployment(place.Features{})
+			lost := d.agents[:lostEndpoints]
+			d.load.start(3*time.Second, callsPerSecond)
+			d.run(500 * time.Millisecond)
+			for _, s := range lost {
+				s.reportsSuppressed = true
+			}
+			d.loseEndpoints(lost, unread)
+			d.run(5 * time.Second)
+			Expect(d.load.refused).To(BeZero())
+			Expect(d.load.opened).To(Equal(len(d.load.calls)))
+		})
+
 		// Guards against suspicions that outlast a loss of all power.
 		It("serves all callers soon after all have come back, each of which "+name, func() {
 			for late, least := range map[bool]int{
--- a/internal/relay/health/service.go
+++ b/internal/relay/health/service.go
@@ -21,8 +21,10 @@
 // Service is what a balancer derives from the load reports of one service. The zero value knows
 // nothing.
 type Service struct {
-	// Outliers is set if capacities are computed.
+	// Outliers is set if capacities and the preferred failure domain are computed.
 	Outliers bool
+	// Zone is the balancer's failure domain.
+	Zone uint64
 
 	updateAt  time.Time
 	updatedAt time.Time
@@ -36,6 +38,8 @@
 	balancers int
 	// capacities are those of the endpoints with less than 1.
 	capacities map[frame.Host]float64
+	// spill is how new flows leave the balancer's failure domain.
+	spill spill
 }
 
 // Update computes the service anew if it is due. It calls countBalancers for the number of other
@@ -57,6 +61,7 @@
 	s.updateUnproven(accepting)
 	if s.Outliers {
 		changes = s.updateCapacities(elapsed, accepting)
+		s.updateSpill(accepting)
 	}
 	return changes
 }
--- a/internal/relay/place/place.go
+++ b/internal/relay/place/place.go
@@ -60,7 +60,7 @@
 // Request asks for the candidates of one new flow.
 type Request struct {
 	Now time.Time
-	// Hash is that of the flow, Zone the failure domain of the balancer.
+	// Hash is that of the flow, Zone the failure domain in which it is placed if possible.
 	Hash uint64
 	Zone uint64
 	// Agents are those of the flow's service.
@@ -95,7 +95,8 @@
 			// longer. Its capacity therefore counts by the root only.
 			c := scoredAgent{
 				agent: s,
-				cost:  PlacementCost(q.Now, q.Zone, s)/math.Sqrt(q.Health.Capacity(s.Host)) + maxRandomCost*hashFraction(q.Hash, s.Host),
+				cost: q.zoneCost(s.Zone) + PlacementCost(q.Now, q.Zone, s)/math.Sqrt(q.Health.Capacity(s.Host)) +
+					maxRandomCost*hashFraction(q.Hash, s.Host),
 			}
 			switch {
 			case s.Host == q.Probe:
@@ -109,6 +110,7 @@
 	slices.SortFunc(candidates, func(a, b scoredAgent) int {
 		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.cost, b.cost))
 	})
+	q.mixZones(candidates)
 	candidates = candidates[:min(len(candidates), maxFlowCandidates)]
 	list = make([]frame.Host, len(candidates))
 	for i := range candidates {
--- a/internal/relay/router/offer.go
+++ b/internal/relay/router/offer.go
@@ -43,6 +43,15 @@
 	return n
 }
 
+// SpillShare returns the largest share of new flows of a service that leave the failure domain
+// because it has too few free slots.
+func (g *Router) SpillShare() (share float64) {
+	for _, s := range g.health {
+		share = max(share, s.SpillShare())
+	}
+	return share
+}
+
 // flowCandidates returns the candidates of a new flow among the endpoints of a service that have
 // not refused it, and the flags of the Forward to them.
 func (g *Router) flowCandidates(now time.Time, hash uint64, service spec.ServiceID, refused []frame.Host) (list []frame.Host, flags uint8) {
@@ -51,6 +60,7 @@
 	if !ok {
 		s = &health.Service{
 			Outliers: g.features.Outliers,
+			Zone:     g.zone,
 		}
 		g.health[service] = s
 	}
@@ -63,7 +73,7 @@
 	q := place.Request{
 		Now:      now,
 		Hash:     hash,
-		Zone:     g.zone,
+		Zone:     s.PreferredZone(hash),
 		Agents:   agents,
 		Exclude:  refused,
 		Health:   s,
