lookup: take summaries of complete tables, ask again for lost answers

An agent whose table has every flow of its endpoint can answer with the hashes of its flows where that is shorter than the question. Flows that are not among them are denied; it is asked about the others.

--- a/internal/relay/admit/lookup.go
+++ b/internal/relay/admit/lookup.go
@@ -82,6 +82,14 @@
 		BatchID: a.BatchID,
 		Digest:  frame.FlowsDigest(a.Flows),
 		Host:    h.self,
+
+		TableSize: frame.NoSummary,
+	}
+	if size := len(h.flows) + len(h.endedFlows); h.endpoint.sawAllFlows && size <= frame.MaxSummary {
+		m.TableSize = uint16(size)
+		if len(a.Flows) == 0 {
+			m.Hashes = h.hashFlows()
+		}
 	}
 	for i := range a.Flows {
 		m.Verdicts = append(m.Verdicts, h.answerFlowQuery(a.Balancer, a.Flows[i]))
@@ -92,6 +100,18 @@
 	})
 }
 
+// hashFlows returns the hashes of all flows that the endpoint holds or has held, sorted.
+func (h *Controller) hashFlows() (hashes []uint32) {
+	for key := range h.flows {
+		hashes = append(hashes, frame.FlowHash(key))
+	}
+	for key := range h.endedFlows {
+		hashes = append(hashes, frame.FlowHash(key))
+	}
+	slices.Sort(hashes)
+	return hashes
+}
+
 // answerFlowQuery returns the answer to an owner query, and announces the endpoint as the owner
 // if it is. If this process has not seen all flows of the endpoint, only the endpoint itself
 // can decide, given the packet.
--- a/internal/relay/frame/frame_test.go
+++ b/internal/relay/frame/frame_test.go
@@ -153,10 +153,12 @@
 			},
 		},
 		frame.OwnerAnswers{
-			BatchID:  1,
-			Digest:   2,
-			Host:     3,
-			Verdicts: []frame.Verdict{frame.Owned, frame.Denied, frame.CannotTell, frame.Ended, frame.Denied},
+			BatchID:   1,
+			Digest:    2,
+			Host:      3,
+			Verdicts:  []frame.Verdict{frame.Owned, frame.Denied, frame.CannotTell, frame.Ended, frame.Denied},
+			TableSize: 6,
+			Hashes:    []uint32{4, 5},
 		},
 	}
 }
--- a/internal/relay/frame/owners.go
+++ b/internal/relay/frame/owners.go
@@ -26,7 +26,8 @@
 	Acknowledges   bool
 }
 
-// OwnerBatch asks an agent which of several flows its endpoint owns.
+// OwnerBatch asks an agent which of several flows its endpoint owns. Without flows it asks for a
+// summary of the flows that the endpoint may own.
 type OwnerBatch struct {
 	// BatchID identifies the batch among those of the balancer.
 	BatchID  uint32
@@ -75,6 +76,24 @@
 	Digest   uint64
 	Host     Host
 	Verdicts []Verdict
+	// TableSize is how many hashes a summary has, or NoSummary if the agent cannot send one: its
+	// table lacks flows that the endpoint may hold, or the summary does not fit.
+	TableSize uint16
+	// Hashes is the summary, in answer to an OwnerBatch without flows: the hashes (FlowHash) of
+	// all flows that the endpoint holds or has held. It does not hold any other.
+	Hashes []uint32
+}
+
+const (
+	// MaxSummary limits the hashes of a summary, so that the datagram stays below 1,200 bytes.
+	MaxSummary = 256
+	// NoSummary is the value of OwnerAnswers.TableSize if the agent cannot send a summary.
+	NoSummary = 0xffff
+)
+
+// FlowHash returns the hash of a flow in a summary.
+func FlowHash(k link.Key) uint32 {
+	return uint32(k.Hash() >> 32)
 }
 
 func (OwnerBatch) message()   {}
@@ -178,6 +197,12 @@
 		}
 		out[len(out)-1] |= byte(v&verdictMask) << (i % verdictsPerByte * verdictBits)
 	}
+	out = byteOrder.AppendUint16(out, m.TableSize)
+	hashes := m.Hashes[:min(len(m.Hashes), MaxSummary)]
+	out = byteOrder.AppendUint16(out, uint16(len(hashes)))
+	for _, x := range hashes {
+		out = byteOrder.AppendUint32(out, x)
+	}
 	return out
 }
 
@@ -196,5 +221,14 @@
 	for i := range count {
 		m.Verdicts = append(m.Verdicts, Verdict(packed[i/verdictsPerByte]>>(i%verdictsPerByte*verdictBits)&verdictMask))
 	}
+	m.TableSize = r.uint16()
+	hashes := int(r.uint16())
+	if hashes > MaxSummary || hashes > len(r.rest)/4 {
+		r.truncated = true
+		return m
+	}
+	for range hashes {
+		m.Hashes = append(m.Hashes, r.uint32())
+	}
 	return m
 }
--- a/internal/relay/lookup/lookup.go
+++ b/internal/relay/lookup/lookup.go
@@ -6,7 +6,9 @@
 // every agent before its caller may be told. One question for each flow and agent exceeds the
 // link and the processor of a small balancer, and the new flows of the same callers are lost.
 // So the questions about many flows are sent in batches, within a budget of bytes, and an
-// agent that has denied a flow is not asked about it again.
+// agent that has denied a flow is not asked about it again. An agent whose table has every flow
+// of its endpoint answers with a summary of the table where that is shorter than the question;
+// it denies every flow that is not in the summary.
 package lookup
 
 import (
@@ -25,7 +27,7 @@
 	// directions together. With one round of maxRoundBytes and the packets of maxPacketDebt
 	// beyond it, the bytes of any second stay below 30 % of a link of 10 Mbit/s, which is
 	// 375 KB. The rest is for new flows and for packets with a known owner.
-	bytesPerSecond = 270_000
+	bytesPerSecond = 280_000
 	maxRoundBytes  = 70_000
 	maxPacketDebt  = 100 * time.Millisecond
 	// datagramBytes are the headers of a datagram (IPv4 and UDP).
@@ -33,9 +35,10 @@
 	// questionBytes and answerBytes are the sizes of a question and its answer without the
 	// flows, flowBytes the size of a flow in a question, groupBytes that of a target.
 	questionBytes = datagramBytes + 12
-	answerBytes   = datagramBytes + 20
+	answerBytes   = datagramBytes + 24
 	flowBytes     = 10
 	groupBytes    = 9
+	hashBytes     = 4
 	// maxQuestionBytes limits the flows of a question, so that it fits into one datagram.
 	maxQuestionBytes = 1200 - 12
 	// singleBytes is the size of an OwnerQuery and a Denial.
@@ -43,6 +46,8 @@
 	// answerTTL is how long an answer is accepted: datagrams that are queued behind others on
 	// a busy link come late, and a late denial is as good as one in time.
 	answerTTL = 2 * time.Second
+	// maxRoundFlows limits the flows of a round, and so the memory of the batches.
+	maxRoundFlows = 2048
 )
 
 // Flow is a flow to ask about.
@@ -60,24 +65,13 @@
 	Questions []Question
 }
 
-// Question is a batch for one agent.
-type Question struct {
-	To    frame.Host
-	Batch frame.OwnerBatch
-}
-
-// Answer is what one agent has answered about one flow.
-type Answer struct {
-	Host    frame.Host
-	Flow    *Flow
-	Verdict frame.Verdict
-}
-
 // Asker sends the questions of one balancer. It is not safe for concurrent use.
 type Asker struct {
 	balancer frame.Host
 	// waiting are the flows whose questions have not been sent, oldest first.
-	waiting []*Flow
+	waiting []request
+	// tableSizes are the sizes of the summaries of the agents that can send one.
+	tableSizes map[frame.Host]int
 	// collectUntil is when the next round may be sent, paidUntil when the bytes sent so far are
 	// within the budget.
 	collectUntil time.Time
@@ -88,20 +82,20 @@
 	batchOrder []*batch
 }
 
-// batch is a question whose answer is awaited.
-type batch struct {
-	id        uint32
-	to        frame.Host
-	digest    uint64
-	flows     []*Flow
-	expiresAt time.Time
+// request is a flow to ask some agents about.
+type request struct {
+	flow  *Flow
+	hosts []frame.Host
+	// exact is set if the flow may be in the summary of these agents.
+	exact bool
 }
 
 // NewAsker returns the Asker of a balancer.
 func NewAsker(balancer frame.Host) *Asker {
 	return &Asker{
-		balancer: balancer,
-		batches:  map[uint32]*batch{},
+		balancer:   balancer,
+		batches:    map[uint32]*batch{},
+		tableSizes: map[frame.Host]int{},
 	}
 }
 
@@ -112,14 +106,15 @@
 
 // Ask adds a flow. Its questions are sent by one of the next calls of Send.
 func (a *Asker) Ask(f *Flow) {
-	a.waiting = append(a.waiting, f)
+	a.waiting = append(a.waiting, request{
+		flow:  f,
+		hosts: f.Hosts,
+	})
 }
 
 // Cancel removes a flow whose questions have not been sent.
 func (a *Asker) Cancel(f *Flow) {
-	if at := slices.Index(a.waiting, f); at >= 0 {
-		a.waiting = slices.Delete(a.waiting, at, at+1)
-	}
+	a.waiting = slices.DeleteFunc(a.waiting, func(r request) bool { return r.flow == f })
 }
 
 // Ready reports whether the budget allows a packet of a flow to be sent to agents. A lookup that
@@ -148,55 +143,68 @@
 	if len(a.waiting) == 0 || now.Before(a.collectUntil) || now.Before(a.paidUntil) {
 		return r
 	}
-	r.Flows = a.takeRound()
+	round := a.takeRound()
 	flows := map[frame.Host][]*Flow{}
+	exact := map[frame.Host]bool{}
 	var hosts []frame.Host
-	for _, f := range r.Flows {
-		for _, h := range f.Hosts {
+	for _, x := range round {
+		r.Flows = append(r.Flows, x.flow)
+		for _, h := range x.hosts {
 			if flows[h] == nil {
 				hosts = append(hosts, h)
 			}
-			flows[h] = append(flows[h], f)
+			flows[h] = append(flows[h], x.flow)
+			exact[h] = exact[h] || x.exact
 		}
 	}
 	slices.Sort(hosts)
 	for _, h := range hosts {
-		q := a.newQuestion(now, h, flows[h])
-		a.Charge(now, 0, questionSize(q.Batch.Flows)+answerBytes+len(q.Batch.Flows)/4)
-		r.Questions = append(r.Questions, q)
+		r.Questions = append(r.Questions, a.newQuestions(now, h, flows[h], exact[h])...)
 	}
 	a.collectUntil = now.Add(collectInterval)
 	return r
 }
 
-// takeRound removes the flows of the next round from those that wait: as many as fit into one
-// question for each agent and into maxRoundBytes, but at least one. Flows with the same target
-// follow each other.
-func (a *Asker) takeRound() (round []*Flow) {
-	questions := map[frame.Host]struct{}{}
-	total, question := 0, 0
-	for _, f := range a.waiting[:min(len(a.waiting), frame.MaxBatchFlows)] {
-		question += flowBytes
-		if len(round) == 0 || !sameTarget(round[len(round)-1], f) {
-			question += groupBytes
-		}
-		for _, h := range f.Hosts {
-			if _, ok := questions[h]; !ok {
-				questions[h] = struct{}{}
-				total += questionBytes + answerBytes + groupBytes
-			}
+// takeRound removes the requests of the next round from those that wait: as many as fit into
+// maxRoundBytes, but at least one. Flows with the same target follow each other.
+func (a *Asker) takeRound() (round []request) {
+	counts := map[frame.Host]int{}
+	total := 0
+	for _, x := range a.waiting[:min(len(a.waiting), maxRoundFlows)] {
+		for _, h := range x.hosts {
+			total -= a.cost(h, counts[h])
+			counts[h]++
+			total += a.cost(h, counts[h])
 		}
-		total += len(f.Hosts) * (flowBytes + 1)
-		if len(round) > 0 && (total > maxRoundBytes || question > maxQuestionBytes) {
+		if len(round) > 0 && total > maxRoundBytes {
 			break
 		}
-		round = append(round, f)
+		round = append(round, x)
 	}
-	a.waiting = a.waiting[len(round):]
-	slices.SortStableFunc(round, compareTargets)
+	a.waiting = slices.Clone(a.waiting[len(round):])
+	slices.SortStableFunc(round, func(x, y request) int { return compareTargets(x.flow, y.flow) })
 	return round
 }
 
+// cost returns the bytes of questions to an agent about a number of flows and of the answers,
+// as long as the flows have the same target.
+func (a *Asker) cost(h frame.Host, flows int) (size int) {
+	if flows == 0 {
+		return 0
+	}
+	if a.prefersSummary(h, flows) {
+		return questionBytes + answerBytes + hashBytes*a.tableSizes[h]
+	}
+	messages := 1 + (flows-1)/frame.MaxBatchFlows
+	return messages*(questionBytes+groupBytes+answerBytes) + flows*flowBytes + flows/4
+}
+
+// prefersSummary reports whether a summary is shorter than a question about a number of flows.
+func (a *Asker) prefersSummary(h frame.Host, flows int) bool {
+	size, ok := a.tableSizes[h]
+	return ok && hashBytes*size < flowBytes*flows
+}
+
 func compareTargets(a, b *Flow) int {
 	return cmp.Or(
 		cmp.Compare(a.Key.Target, b.Key.Target),
@@ -206,79 +214,9 @@
 	)
 }
 
-func sameTarget(a, b *Flow) bool {
-	return compareTargets(a, b) == 0
-}
-
 func rankOf(b bool) int {
 	if b {
 		return 1
 	}
 	return 0
 }
-
-// questionSize returns the size of a question about flows that are sorted by target.
-func questionSize(flows []frame.FlowQuery) (size int) {
-	size = questionBytes + groupBytes + flowBytes*len(flows)
-	for i := range flows[1:] {
-		if a, b := flows[i], flows[i+1]; a.Key.Target != b.Key.Target || a.Key.TargetPort != b.Key.TargetPort {
-			size += groupBytes
-		}
-	}
-	return size
-}
-
-func (a *Asker) newQuestion(now time.Time, to frame.Host, flows []*Flow) Question {
-	a.batchCount++
-	q := Question{
-		To: to,
-		Batch: frame.OwnerBatch{
-			BatchID:  a.batchCount,
-			Balancer: a.balancer,
-		},
-	}
-	for _, f := range flows {
-		q.Batch.Flows = append(q.Batch.Flows, f.FlowQuery)
-	}
-	b := &batch{
-		id:        q.Batch.BatchID,
-		to:        to,
-		digest:    frame.FlowsDigest(q.Batch.Flows),
-		flows:     flows,
-		expiresAt: now.Add(answerTTL),
-	}
-	a.batches[b.id] = b
-	a.batchOrder = append(a.batchOrder, b)
-	return q
-}
-
-// Receive returns what an agent has answered about each flow of a batch, and records its
-// denials. It returns nothing if the answer belongs to no batch of this process.
-func (a *Asker) Receive(m frame.OwnerAnswers) (list []Answer) {
-	b, ok := a.batches[m.BatchID]
-	if !ok || b.to != m.Host || b.digest != m.Digest || len(b.flows) != len(m.Verdicts) {
-		return nil
-	}
-	delete(a.batches, m.BatchID)
-	for i, f := range b.flows {
-		if m.Verdicts[i] == frame.Denied {
-			f.Denials.Add(m.Host)
-		}
-		list = append(list, Answer{
-			Host:    m.Host,
-			Flow:    f,
-			Verdict: m.Verdicts[i],
-		})
-	}
-	return list
-}
-
-// Expire removes the batches whose answers are no longer accepted.
-func (a *Asker) Expire(now time.Time) {
-	expired := 0
-	for expired < len(a.batchOrder) && !now.Before(a.batchOrder[expired].expiresAt) {
-		delete(a.batches, a.batchOrder[expired].id)
-		expired++
-	}
-	a.batchOrder = slices.Delete(a.batchOrder, 0, expired)
-}
--- a/internal/relay/router/query.go
+++ b/internal/relay/router/query.go
@@ -39,6 +39,9 @@
 	// asked at once for homeMissPause: the homes have lost what they stored.
 	maxHomeMisses = 4
 	homeMissPause = time.Second
+	// maxRounds is how often agents that answer batches are asked in one lookup while answers or
+	// packets are missing.
+	maxRounds = 4
 	// maxHeldPackets bounds the packets of a flow held during a parallel lookup; the
 	// caller retransmits the others.
 	maxHeldPackets = 8
@@ -66,20 +69,6 @@
 // was read since the lookup began.
 const stageProven = stageCount
 
-// OwnerQuery sends an owner query to agents.
-type OwnerQuery struct {
-	To    []frame.Host
-	Query frame.OwnerQuery
-	// ListComplete is set if all agents that this balancer knows are asked.
-	ListComplete bool
-}
-
-// OwnerBatch sends a batch of owner queries to an agent.
-type OwnerBatch struct {
-	To    frame.Host
-	Batch frame.OwnerBatch
-}
-
 // Denied is the answer to an owner query from an agent whose endpoint does not hold the
 // flow, or that cannot tell.
 type Denied struct {
@@ -113,6 +102,8 @@
 	awaiting  []frame.Host
 	undecided []frame.Host
 	forwarded []frame.Host
+	// rounds counts how often agents were asked again.
+	rounds int
 	// lists are the lists of candidates whose packet has not come back.
 	lists [][]frame.Host
 	// deadline is when the current stage ends without further answers.
@@ -189,138 +180,6 @@
 	g.forwardToList(now, stageHome, list[:1], 0, &q.held[0])
 }
 
-// forwardToList forwards a packet along one list of candidates.
-func (g *Router) forwardToList(now time.Time, stage uint8, list []frame.Host, flags uint8, p *Packet) {
-	latencyTarget, priority := g.routeTargets(p.Key)
-	// The packet comes back unless a candidate owns the flow.
-	g.asker.Charge(now, 2, 2*(len(p.Raw)+forwardBytes)+4*len(list))
-	g.addAction(Send{
-		To:     list[0],
-		Key:    p.Key,
-		Kind:   p.Kind,
-		Reason: Lookup,
-		Forward: &frame.Forward{
-			Flags:           flags,
-			Best:            frame.NoBest,
-			LookupStage:     stage,
-			LatencyTargetMS: latencyTarget,
-			Priority:        priority,
-			Balancer:        g.self,
-			Home:            g.homeOf(now, p.Key),
-			Candidates:      list,
-			Packet:          p.Raw,
-		},
-	})
-}
-
-// forwardInLists forwards a packet to candidates in lists in parallel and returns the lists.
-// Short lists stay in one failure domain: the packet crosses between failure domains once for
-// each list and not with each hop. In a long one the candidates of a failure domain follow each
-// other.
-func (g *Router) forwardInLists(now time.Time, stage uint8, hosts []frame.Host, p *Packet) (lists [][]frame.Host) {
-	groups, length := g.groupByZone(hosts), maxListLength
-	if g.undecidedCount > manyUndecided {
-		groups, length = [][]frame.Host{slices.Concat(groups...)}, maxLongList
-	}
-	for _, group := range groups {
-		for part := range slices.Chunk(group, length) {
-			list := slices.Clone(part)
-			lists = append(lists, list)
-			g.forwardToList(now, stage, list, frame.ListComplete, p)
-		}
-	}
-	return lists
-}
-
-// groupByZone groups hosts by failure domain and keeps their order within each.
-func (g *Router) groupByZone(hosts []frame.Host) (groups [][]frame.Host) {
-	index := map[uint64]int{}
-	for _, h := range hosts {
-		zone := uint64(0)
-		if s := g.members.Agent(h); s != nil {
-			zone = s.Zone
-		}
-		at, ok := index[zone]
-		if !ok {
-			at = len(groups)
-			index[zone] = at
-			groups = append(groups, nil)
-		}
-		groups[at] = append(groups[at], h)
-	}
-	return groups
-}
-
-// queryAll asks all candidates that have not denied the flow whether they own it: in a batch
-// where the agent answers batches, else with an owner query of its own.
-func (g *Router) queryAll(now time.Time, x *flow, list []frame.Host, complete bool) {
-	q := x.query
-	g.queryCount++
-	q.id = g.queryCount
-	q.homePending = false
-	q.awaiting = x.denials.Missing(list)
-	if len(q.awaiting) == 0 {
-		g.advanceQuery(now, x)
-		return
-	}
-	p := &q.held[0]
-	var batched, single []frame.Host
-	for _, h := range q.awaiting {
-		if s := g.members.Agent(h); s != nil && s.AnswersBatches {
-			batched = append(batched, h)
-		} else {
-			single = append(single, h)
-		}
-	}
-	q.deadline = now.Add(queryTimeout)
-	if len(single) > 0 {
-		g.asker.ChargeSingles(now, len(single))
-		g.addAction(OwnerQuery{
-			To:           single,
-			ListComplete: complete,
-			Query: frame.OwnerQuery{
-				QueryID:        q.id,
-				Balancer:       g.self,
-				Key:            q.key,
-				Acknowledgment: p.Acknowledgment,
-				Acknowledges:   p.HasAck(),
-			},
-		})
-	}
-	if len(batched) == 0 {
-		return
-	}
-	q.unsent = true
-	q.asked = &lookup.Flow{
-		FlowQuery: frame.FlowQuery{
-			Key:            q.key,
-			Acknowledgment: p.Acknowledgment,
-			Acknowledges:   p.HasAck(),
-		},
-		Hosts:   batched,
-		Denials: x.denials,
-	}
-	g.asker.Ask(q.asked)
-	g.sendBatches(now)
-}
-
-// sendBatches sends the batches of owner queries that are due.
-func (g *Router) sendBatches(now time.Time) {
-	r := g.asker.Send(now)
-	for _, f := range r.Flows {
-		if x, ok := g.flows[f.Key]; ok && x.query != nil && x.query.asked == f {
-			x.query.unsent = false
-			x.query.deadline = now.Add(queryTimeout)
-		}
-	}
-	for _, b := range r.Questions {
-		g.addAction(OwnerBatch{
-			To:    b.To,
-			Batch: b.Batch,
-		})
-	}
-}
-
 // queryAfterHome continues a lookup whose home did not know the owner or did not answer.
 func (g *Router) queryAfterHome(now time.Time, x *flow) {
 	q := x.query
@@ -342,65 +201,6 @@
 	g.queryAll(now, x, list, complete)
 }
 
-// handleDenial handles the answer of an agent that does not own the flow or cannot tell.
-func (g *Router) handleDenial(now time.Time, d frame.Denial) {
-	g.members.MarkAlive(d.Host)
-	x, ok := g.flows[d.Key]
-	if !ok || x.query == nil || x.query.id != d.QueryID {
-		return
-	}
-	verdict := frame.CannotTell
-	switch {
-	case d.FlowEnded:
-		verdict = frame.Ended
-	case d.Conclusive:
-		verdict = frame.Denied
-	}
-	g.handleVerdict(now, x, d.Host, verdict)
-}
-
-// handleBatchAnswer handles an agent's answers to a batch.
-func (g *Router) handleBatchAnswer(now time.Time, m frame.OwnerAnswers) {
-	g.members.MarkAlive(m.Host)
-	for _, a := range g.asker.Receive(m) {
-		if x, ok := g.flows[a.Flow.Key]; ok && x.query != nil && x.query.asked == a.Flow {
-			g.handleVerdict(now, x, a.Host, a.Verdict)
-		}
-	}
-}
-
-// handleVerdict handles what an agent has answered about a flow that is being looked up.
-func (g *Router) handleVerdict(now time.Time, x *flow, h frame.Host, verdict frame.Verdict) {
-	q := x.query
-	at := slices.Index(q.awaiting, h)
-	if at < 0 {
-		return
-	}
-	q.awaiting = slices.Delete(q.awaiting, at, at+1)
-	switch verdict {
-	case frame.Owned:
-		g.handleHint(now, frame.Owner{
-			Key:  q.key,
-			Host: h,
-		})
-		return
-	case frame.Ended:
-		g.addAction(LookupSettled{
-			Outcome: LookupEnded,
-		})
-		x.query = nil
-		g.handleEndedFlow(now, x, q.held[0].Packet)
-		return
-	case frame.Denied:
-		x.denials.Add(h)
-	default:
-		q.undecided = append(q.undecided, h)
-	}
-	if len(q.awaiting) == 0 {
-		g.advanceQuery(now, x)
-	}
-}
-
 // advanceQuery forwards the packet to the agents that could not tell. If there are none
 // and no answer is awaited, the lookup ends without an owner.
 func (g *Router) advanceQuery(now time.Time, x *flow) {
@@ -436,30 +236,6 @@
 	})
 }
 
-// forwardToUndecided forwards the packet to the agents that could not tell and that have no
-// more packets of other lookups than they may have, if the budget allows it.
-func (g *Router) forwardToUndecided(now time.Time, q *query) {
-	if !g.asker.Ready(now) {
-		return
-	}
-	hosts := g.packets.Available(q.undecided)
-	if len(hosts) == 0 {
-		return
-	}
-	longest := 0
-	for _, list := range g.forwardInLists(now, q.stage(), hosts, &q.held[0]) {
-		g.packets.Add(list)
-		q.lists = append(q.lists, list)
-		longest = max(longest, len(list))
-	}
-	for i := range q.held[1:] {
-		g.forwardInLists(now, stageExtraPacket, hosts, &q.held[1+i])
-	}
-	q.forwarded = append(q.forwarded, hosts...)
-	q.undecided = slices.DeleteFunc(q.undecided, func(h frame.Host) bool { return slices.Contains(hosts, h) })
-	q.deadline = now.Add(queryTimeout + time.Duration(max(longest, maxListLength))*hopTimeout)
-}
-
 // handleQueryReturn handles a packet of a parallel lookup that a list of candidates
 // returned. It ignores a return that arrives after the deadline of its stage.
 func (g *Router) handleQueryReturn(now time.Time, x *flow, e Returned) {
@@ -484,6 +260,7 @@
 			}
 		}
 		g.advanceQuery(now, x)
+		g.forwardNext(now)
 	}
 }
 
@@ -535,6 +312,7 @@
 		switch overdue := !q.unsent && !now.Before(q.deadline); {
 		case overdue && q.homePending:
 			g.queryAfterHome(now, x)
+		case overdue && len(q.undecided) == 0 && g.repeatQuery(now, x):
 		case overdue:
 			q.awaiting = nil
 			g.removeLists(q)
@@ -562,11 +340,3 @@
 		g.asker.Cancel(q.asked)
 	}
 }
-
-// removeLists gives up the packets that have not come back.
-func (g *Router) removeLists(q *query) {
-	for _, list := range q.lists {
-		g.packets.Remove(list)
-	}
-	q.lists = nil
-}
