router: look up owners in batches also among few agents while lookups are frequent

With up to 64 agents a packet travels along all of them. After a loss of power each lost flow cost each agent a datagram from every balancer that got a packet of it, and each lost datagram ended a lookup. Beyond 40 lookups a second the agents are now asked in batches for a second, if all of them answer batches.

--- a/internal/relay/entry/packets.go
+++ b/internal/relay/entry/packets.go
@@ -71,6 +71,7 @@
 			b.send(a.To, a.Batch)
 		case router.LookupSettled:
 			b.counts.lookups[a.Outcome]++
+			b.logLookup(a)
 		case router.ReadRecord:
 			b.recordWanted = true
 		case router.OwnerFound:
--- a/internal/relay/entry/serve.go
+++ b/internal/relay/entry/serve.go
@@ -100,6 +100,24 @@
 		Msg("owner query sent to all candidates")
 }
 
+// logLookup logs the end of a lookup among many agents. Those that the home of the flow answers
+// are usual.
+func (b *Balancer) logLookup(a router.LookupSettled) {
+	event := b.log.Important.Info()
+	if a.Outcome == router.LookupFoundByHome {
+		event = b.log.Routine.Info()
+	}
+	if a.Missing != 0 {
+		event.Str("missing", a.Missing.String())
+	}
+	event.
+		Str("flow", a.Key.String()).
+		Str("outcome", a.Outcome.String()).
+		Int("repeats", a.Repeats).
+		Int("unsent", b.router.Lookups().Unsent).
+		Msg("owner lookup ended")
+}
+
 func (b *Balancer) logOutcome(message string, p link.Packet, why router.Reason) {
 	event := b.log.Important.Info()
 	if why == router.OwnerUnknown {
--- a/internal/relay/fault/lookups_test.go
+++ b/internal/relay/fault/lookups_test.go
@@ -196,14 +196,16 @@
 	// Guards against lookups that fill the links and processors of small balancers: the
 	// callers of dead flows were not told for many seconds, and their new flows were lost.
 	It("tell the callers of 5,000 dead flows within a second and leave room for new flows", func() {
-		w := newFlood(25, 65, 65, rand.New(rand.NewPCG(1, 1)))
-		r := w.playDeadFlows(5000, 4*time.Second)
-		Expect(r.told).To(Equal(5000))
-		Expect(r.slowest).To(BeNumerically("<=", time.Second))
-		Expect(r.lookupBytes).To(BeNumerically("<=", budget))
-		Expect(r.opened).To(Equal(5000))
-		Expect(r.retried).To(BeZero())
-		Expect(r.refused).To(BeZero())
+		for _, agents := range []int{65, 52} {
+			w := newFlood(25, agents, agents, rand.New(rand.NewPCG(1, 1)))
+			r := w.playDeadFlows(5000, 4*time.Second)
+			Expect(r.told).To(Equal(5000))
+			Expect(r.slowest).To(BeNumerically("<=", time.Second))
+			Expect(r.lookupBytes).To(BeNumerically("<=", budget))
+			Expect(r.opened).To(Equal(5000))
+			Expect(r.retried).To(BeZero())
+			Expect(r.refused).To(BeZero())
+		}
 	})
 
 	// Guards against a lookup that starts anew because some answers were lost.
@@ -233,24 +235,26 @@
 	// Guards against resets of live flows because a denial of another flow, or of an agent that
 	// has lost its table, counts for them.
 	It("find the owners of live flows while agents and balancers restart", func() {
-		w := newFlood(25, 65, 65, rand.New(rand.NewPCG(4, 1)))
-		live := w.openLongFlows(500)
-		w.loss = 0.02
-		w.useLongFlows(live)
-		for i, s := range w.agents[:20] {
-			w.clock.After(time.Duration(i*20)*time.Millisecond, func() { s.down = true })
-			w.clock.After(time.Duration(i*20+100)*time.Millisecond, func() { w.startAgent(s) })
-		}
-		for i, b := range w.balancers[:8] {
-			w.clock.After(time.Duration(i*50)*time.Millisecond, func() { w.startBalancer(b) })
-		}
-		r := w.playDeadFlows(1000, 6*time.Second)
-		for _, c := range live {
-			Expect(c.reset).To(BeFalse(), c.key.String())
-			Expect(c.doneAt).NotTo(BeZero(), c.key.String())
+		for _, agents := range []int{65, 52} {
+			w := newFlood(25, agents, agents, rand.New(rand.NewPCG(4, 1)))
+			live := w.openLongFlows(500)
+			w.loss = 0.02
+			w.useLongFlows(live)
+			for i, s := range w.agents[:20] {
+				w.clock.After(time.Duration(i*20)*time.Millisecond, func() { s.down = true })
+				w.clock.After(time.Duration(i*20+100)*time.Millisecond, func() { w.startAgent(s) })
+			}
+			for i, b := range w.balancers[:8] {
+				w.clock.After(time.Duration(i*50)*time.Millisecond, func() { w.startBalancer(b) })
+			}
+			r := w.playDeadFlows(1000, 6*time.Second)
+			for _, c := range live {
+				Expect(c.reset).To(BeFalse(), c.key.String())
+				Expect(c.doneAt).NotTo(BeZero(), c.key.String())
+			}
+			Expect(r.told).To(Equal(1000))
+			Expect(r.lookupBytes).To(BeNumerically("<=", budget))
 		}
-		Expect(r.told).To(Equal(1000))
-		Expect(r.lookupBytes).To(BeNumerically("<=", budget))
 	})
 
 	// Guards against resets without a member record that was read since, and against lookups
--- a/internal/relay/router/ask.go
+++ b/internal/relay/router/ask.go
@@ -22,6 +22,27 @@
 	Batch frame.OwnerBatch
 }
 
+// looksUpInParallel reports whether the owner of a flow is looked up with a query to all
+// candidates: there are too many for one list, or lookups are so frequent that batches cost less.
+func (g *Router) looksUpInParallel(now time.Time, x *flow, list []frame.Host) bool {
+	if len(list) > maxSequential || x != nil && x.denials != nil {
+		return true
+	}
+	if now.After(g.sequentialUntil) {
+		g.sequentialUntil = now
+	}
+	g.sequentialUntil = g.sequentialUntil.Add(sequentialInterval)
+	if g.sequentialUntil.Sub(now) > maxSequentialBurst*sequentialInterval {
+		g.sequentialUntil = now.Add(maxSequentialBurst * sequentialInterval)
+		g.batchedUntil = now.Add(batchedPeriod)
+	}
+	if !now.Before(g.batchedUntil) {
+		return false
+	}
+	_, single := g.splitByBatches(list)
+	return len(single) == 0
+}
+
 // queryAll asks all candidates that have not denied the flow whether they own it: in a batch
 // where the agent answers batches, else with an owner query of its own.
 func (g *Router) queryAll(now time.Time, x *flow, list []frame.Host, complete bool) {
@@ -165,9 +186,7 @@
 		})
 		return
 	case frame.Ended:
-		g.addAction(LookupSettled{
-			Outcome: LookupEnded,
-		})
+		g.addSettled(q, LookupEnded, nil)
 		x.query = nil
 		g.handleEndedFlow(now, x, q.held[0].Packet)
 		return
--- a/internal/relay/router/lookup.go
+++ b/internal/relay/router/lookup.go
@@ -87,7 +87,7 @@
 		})
 		return
 	}
-	if len(list) > maxSequential {
+	if g.looksUpInParallel(now, g.flows[p.Key], list) {
 		g.startQuery(now, p, raw, s, list, complete)
 		return
 	}
@@ -95,6 +95,7 @@
 	if complete {
 		flags |= frame.ListComplete
 	}
+	g.asker.Charge(now, 2, 2*(len(raw)+forwardBytes)+4*len(list))
 	if s.undecided {
 		flags |= frame.CandidateSilent
 	}
--- a/internal/relay/router/query.go
+++ b/internal/relay/router/query.go
@@ -21,6 +21,13 @@
 	// maxSequential is the largest number of candidates that a packet passes one after
 	// the other.
 	maxSequential = frame.MaxList
+	// A packet that passes all candidates costs each of them a datagram, and each agent gets
+	// those of all balancers. One lookup in sequentialInterval and maxSequentialBurst of them
+	// at a time go this way; with 25 balancers that is a tenth of what a small agent can
+	// handle. Beyond that, flows are asked about in batches for batchedPeriod.
+	sequentialInterval = 25 * time.Millisecond
+	maxSequentialBurst = 8
+	batchedPeriod      = time.Second
 	// homeTimeout is how long the home may take to forward the packet to the owner or to
 	// return it. queryTimeout is how long answers to an owner query are awaited: several
 	// round trips between failure domains and the delay in a busy agent.
@@ -220,14 +227,13 @@
 		return
 	}
 	list, complete := g.lookupCandidates(now, q.key, route)
-	denied := len(x.denials.Missing(list)) == 0
+	missing := x.denials.Missing(list)
+	denied := len(missing) == 0
 	settled := LookupDenied
 	if !denied {
 		settled = LookupUnanswered
 	}
-	g.addAction(LookupSettled{
-		Outcome: settled,
-	})
+	g.addSettled(q, settled, missing)
 	g.recordNoOwner(now, x, first.Packet, first.Raw, outcome{
 		denied:     denied,
 		conclusive: denied && complete,
@@ -276,9 +282,7 @@
 	if q.homePending {
 		settled = LookupFoundByHome
 	}
-	g.addAction(LookupSettled{
-		Outcome: settled,
-	})
+	g.addSettled(q, settled, nil)
 	held := q.held
 	switch {
 	case slices.Contains(q.forwarded, x.owners[0].host):
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -208,6 +208,10 @@
 	// before skipHomeUntil.
 	homeMisses    int
 	skipHomeUntil time.Time
+	// sequentialUntil is until when the sequential lookups so far use up their rate. Before
+	// batchedUntil flows are asked about in batches.
+	sequentialUntil time.Time
+	batchedUntil    time.Time
 	// loads caches the average load of each service.
 	loads   map[spec.ServiceID]serviceLoad
 	sweepAt time.Time
--- a/internal/relay/router/state.go
+++ b/internal/relay/router/state.go
@@ -1,5 +1,10 @@
 package router
 
+import (
+	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/world/link"
+)
+
 // LookupOutcome says how a parallel lookup of a flow's owner ended.
 type LookupOutcome uint8
 
@@ -38,7 +43,12 @@
 
 // LookupSettled reports that a parallel lookup has ended. It may be repeated.
 type LookupSettled struct {
+	Key     link.Key
 	Outcome LookupOutcome
+	// Repeats is how often agents were asked again.
+	Repeats int
+	// Missing is an agent that has not denied the flow, if the outcome is LookupUnanswered.
+	Missing frame.Host
 }
 
 func (LookupSettled) action() {}
@@ -54,6 +64,19 @@
 	Unsettled int `json:"unsettled"`
 }
 
+// addSettled reports the end of a lookup.
+func (g *Router) addSettled(q *query, o LookupOutcome, missing []frame.Host) {
+	a := LookupSettled{
+		Key:     q.key,
+		Outcome: o,
+		Repeats: q.rounds,
+	}
+	if len(missing) > 0 {
+		a.Missing = missing[0]
+	}
+	g.addAction(a)
+}
+
 // Lookups returns the numbers of lookups in progress.
 func (g *Router) Lookups() Lookups {
 	return Lookups{
