--- a/internal/relay/lookup/batch.go
+++ b/internal/relay/lookup/batch.go
@@ -87,14 +87,16 @@
 		return nil
 	}
 	delete(a.batches, m.BatchID)
+	flows := b.flows
+	b.flows = nil
 	delete(a.tableSizes, m.Host)
 	if m.TableSize != frame.NoSummary {
 		a.tableSizes[m.Host] = int(m.TableSize)
 	}
 	if b.summary {
-		return a.readSummary(b, m)
+		return a.readSummary(flows, m)
 	}
-	for i, f := range b.flows {
+	for i, f := range flows {
 		list = append(list, newAnswer(m.Host, f, m.Verdicts[i]))
 	}
 	return list
@@ -113,13 +115,13 @@
 
 // readSummary takes the flows that are not in a summary as denied. The agent is asked about the
 // others, and about all if it has sent no summary.
-func (a *Asker) readSummary(b *batch, m frame.OwnerAnswers) (list []Answer) {
+func (a *Asker) readSummary(flows []*Flow, m frame.OwnerAnswers) (list []Answer) {
 	hashes := map[uint32]struct{}{}
 	for _, x := range m.Hashes {
 		hashes[x] = struct{}{}
 	}
 	complete := m.TableSize != frame.NoSummary && len(m.Hashes) == int(m.TableSize)
-	for _, f := range b.flows {
+	for _, f := range flows {
 		if _, found := hashes[frame.FlowHash(f.Key)]; complete && !found {
 			list = append(list, newAnswer(m.Host, f, frame.Denied))
 			continue
--- a/internal/relay/lookup/lookup.go
+++ b/internal/relay/lookup/lookup.go
@@ -159,6 +159,10 @@
 	}
 	slices.Sort(hosts)
 	for _, h := range hosts {
+		if len(flows[h]) == len(r.Flows) {
+			// Most agents are asked about the same flows, which their batches share.
+			flows[h] = r.Flows
+		}
 		r.Questions = append(r.Questions, a.newQuestions(now, h, flows[h], exact[h])...)
 	}
 	a.collectUntil = now.Add(collectInterval)
