router: continue a lookup whose packet was lost on its way

A packet that travels along its candidates is lost at the first agent that is away. While all agents are restarted one after the other, endpoints that do not hold the flow got the packet and its own did not; each retransmission came through another balancer and met the same agent. The balancer now keeps the packet and asks all agents if it has neither come back nor found an owner.

The new case fails without the change.

--- a/internal/relay/fault/lookups_test.go
+++ b/internal/relay/fault/lookups_test.go
@@ -257,6 +257,30 @@
 		}
 	})
 
+	// Guards against packets of open flows that travel along agents that have restarted, whose
+	// endpoints do not hold them, and are lost at one that is away before they reach their own.
+	It("find the owners of live flows while balancers and then all agents are restarted as planned", func() {
+		for _, agents := range []int{52, 65} {
+			for _, stagger := range []time.Duration{20 * time.Millisecond, 100 * time.Millisecond} {
+				w := newFlood(25, agents, agents, rand.New(rand.NewPCG(4, 1)))
+				live := w.openLongFlows(500)
+				for i := range 6 {
+					w.clock.After(time.Duration(i)*arrivalPeriod, func() { w.useLongFlows(live[80*i : 80*(i+1)]) })
+				}
+				for i, s := range w.agents {
+					w.clock.After(time.Duration(i)*stagger, func() { s.down = true })
+					w.clock.After(time.Duration(i)*stagger+time.Second, func() { w.startAgent(s) })
+				}
+				w.clock.Run(w.clock.Now().Add(12 * time.Second))
+				for _, c := range w.callers {
+					Expect(c.reset).To(BeFalse(), c.key.String())
+					Expect(c.doneAt).NotTo(BeZero(), c.key.String())
+					Expect(c.doneAt.Sub(c.first)).To(BeNumerically("<=", 1500*time.Millisecond))
+				}
+			}
+		}
+	})
+
 	// Guards against resets without a member record that was read since, and against lookups
 	// that are repeated while the record cannot be read.
 	It("wait for the store without a question", func() {
--- a/internal/relay/router/lookup.go
+++ b/internal/relay/router/lookup.go
@@ -91,6 +91,7 @@
 		g.startQuery(now, p, raw, s, list, complete)
 		return
 	}
+	g.startWalk(now, p, raw, list)
 	flags := uint8(0)
 	if complete {
 		flags |= frame.ListComplete
@@ -201,6 +202,7 @@
 			return
 		}
 	}
+	x.walk = nil
 	g.recordNoOwner(now, x, p, e.Return.Packet, outcome{
 		denied:     e.Conclusive,
 		conclusive: e.Conclusive,
--- a/internal/relay/router/owner.go
+++ b/internal/relay/router/owner.go
@@ -68,6 +68,7 @@
 	}
 	x.pending = nil
 	x.retry = nil
+	x.walk = nil
 	x.lookedUpSince = time.Time{}
 	x.noOwnerUntil = time.Time{}
 	next := owner{
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -161,6 +161,8 @@
 	denials *lookup.Denials
 	// callerUntil is until when the caller counts as waiting: it retransmits its packets.
 	callerUntil time.Time
+	// walk is the packet of the flow that travels along the candidates, or nil.
+	walk *walk
 	// query is the parallel lookup in progress, or nil.
 	query *query
 	// retry is the lookup to repeat, or nil.
@@ -198,6 +200,8 @@
 	// queries are the parallel lookups in progress; queryCount counts all that were made.
 	queries    []*query
 	queryCount uint32
+	// walks are the packets that travel along candidates, oldest first.
+	walks []*walk
 	// asker sends the owner queries to agents that answer batches, packets counts the packets
 	// that agents have to find out whether they own a flow. undecidedCount is the number of
 	// lookups with agents that wait for the packet.
@@ -407,6 +411,7 @@
 
 func (g *Router) handleTick(now time.Time) {
 	g.retryLookups(now)
+	g.checkWalks(now)
 	g.requestRecord(now)
 	g.checkQueries(now)
 	kept := g.pending[:0]
