--- a/internal/relay/router/owner.go
+++ b/internal/relay/router/owner.go
@@ -74,8 +74,8 @@
 		x.offer = nil
 	}
 	x.retry = nil
+	x.walk = nil
 	x.lookedUpSince = time.Time{}
-	x.passedAt = time.Time{}
 	x.noOwnerUntil = time.Time{}
 	next := owner{
 		host:            o.Host,
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -165,9 +165,8 @@
 	denials *lookup.Denials
 	// callerUntil is until when the caller counts as waiting: it retransmits its packets.
 	callerUntil time.Time
-	// passedAt is when a packet of the flow was first passed along the candidates without a
-	// result since; zero if there was none.
-	passedAt time.Time
+	// walk is the packet of the flow that travels along the candidates, or nil.
+	walk *walk
 	// query is the parallel lookup in progress, or nil.
 	query *query
 	// retry is the lookup to repeat, or nil.
@@ -214,6 +213,8 @@
 	// queries are the parallel lookups in progress; queryCount counts all that were made.
 	queries    []*query
 	queryCount uint32
+	// walks are the packets that travel along candidates, oldest first.
+	walks []*walk
 	// asker sends the owner queries to agents that answer batches, packets counts the packets
 	// that agents have to find out whether they own a flow. undecidedCount is the number of
 	// lookups with agents that wait for the packet.
@@ -224,6 +225,10 @@
 	// before skipHomeUntil.
 	homeMisses    int
 	skipHomeUntil time.Time
+	// sequentialUntil is until when the sequential lookups so far use up their rate. Before
+	// batchedUntil flows are asked about in batches.
+	sequentialUntil time.Time
+	batchedUntil    time.Time
 	// loads caches the average load of each service.
 	loads   map[spec.ServiceID]serviceLoad
 	sweepAt time.Time
@@ -424,6 +429,7 @@
 
 func (g *Router) handleTick(now time.Time) {
 	g.retryLookups(now)
+	g.checkWalks(now)
 	g.requestRecord(now)
 	g.checkQueries(now)
 	kept := g.pending[:0]
--- a/internal/relay/router/script_test.go
+++ b/internal/relay/router/script_test.go
@@ -283,6 +283,7 @@
 		Refusals:  uint16(l.Int("refusals", 0)),
 
 		WantsRegistration: l.Has("registers"),
+		AnswersBatches:    l.Has("batches"),
 		EndpointAbsent:    l.Has("absent"),
 		Evacuations:       uint64(l.Int("asks", 0)) << 63,
 	}
@@ -317,6 +318,8 @@
 				text += ", settled"
 			}
 			out = append(out, text)
+		case router.OwnerBatch:
+			out = append(out, fmt.Sprintf("ask %s in a batch", a.To))
 		case router.ReadRecord:
 			out = append(out, "read record")
 		case router.OwnerFound:
