shed, admit, agent: refuse at once the SYNs that cannot be served

With load shedding enabled, an agent estimates from the slots, the learned slot time, the queue in its order of service and the arrival rates whether a SYN can be served. A SYN that finds no free slot is recorded as a candidate only where it can be; a queued one that no longer can is offered to the other candidates and refused as queue_too_long if none has a free slot. Requests on open flows wait in the same order. Without the option every decision is unchanged.

--- a/internal/relay/admit/controller.go
+++ b/internal/relay/admit/controller.go
@@ -17,6 +17,7 @@
 
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/relay/roster"
+	"github.com/clementinewing/clementinewing/internal/relay/shed"
 	"github.com/clementinewing/clementinewing/internal/world/link"
 	"github.com/clementinewing/clementinewing/internal/world/node"
 	"github.com/clementinewing/clementinewing/internal/world/spec"
@@ -169,7 +170,7 @@
 func (Tick) event()                {}
 
 // Action is Deliver, ForwardToCandidate, ReturnToBalancer, AnnounceOwner, DenyOwnership,
-// RequestQueued, RequestAbandoned, SendToCaller, FlowAccepted, RequestStarted,
+// OpeningShed, RequestQueued, RequestAbandoned, SendToCaller, FlowAccepted, RequestStarted,
 // RequestAnswered, ReportRefused or StateChanged.
 type Action interface{ action() }
 
@@ -294,8 +295,13 @@
 	openingCredit float64
 	// serviceTime is the average time that the endpoint takes to answer a request.
 	serviceTime time.Duration
-	deliveries  [maxDeliveries]delivery
-	lastMark    uint32
+	// estimator tells which queued SYNs can be served, nil without WithLoadShedding.
+	// queueChanged is set when one of them may have lost its turn since it was last asked.
+	estimator    *shed.Estimator
+	queueChanged bool
+	waitingQueue shed.Queue
+	deliveries   [maxDeliveries]delivery
+	lastMark     uint32
 	// timedMarks are the marks of deliveries with a deadline, oldest first.
 	timedMarks []uint32
 	// acceptedOpenings are the flows whose SYN was answered and whose first request is
@@ -406,6 +412,7 @@
 		h.handleTick(now)
 	}
 	h.serveQueue(now)
+	h.shedQueued(now)
 	return h.actions
 }
 
@@ -469,6 +476,7 @@
 	h.checkRegistration(now)
 	h.expireDeliveries(now)
 	h.expireAcceptedOpenings(now)
+	h.queueChanged = true
 	if !h.lastTickAt.IsZero() {
 		weight := min(1, float64(now.Sub(h.lastTickAt))/float64(loadAveragePeriod))
 		h.averageLoad += (float64(h.inUse) - h.averageLoad) * weight
--- a/internal/relay/admit/delivery.go
+++ b/internal/relay/admit/delivery.go
@@ -54,6 +54,10 @@
 		return
 	}
 	if w, waits := h.queue[p.Key]; waits && w.flow == nil && w.packet.Sequence == p.Sequence {
+		if !w.offeredUntil.IsZero() {
+			h.handleOffered(now, w, c)
+			return
+		}
 		w.forward.Balancer = c.Balancer
 		h.announceQueued(w)
 		return
@@ -62,6 +66,9 @@
 		return
 	}
 	if reason, rejected := h.rejectReason(now, c); rejected {
+		if reason == SlotsFull {
+			reason = h.offerQueue(now, p, c)
+		}
 		h.forwardToNextCandidate(p, c, reason)
 		return
 	}
@@ -70,9 +77,12 @@
 			h.forwardToNextCandidate(p, c, QueueFull)
 			return
 		}
-		h.queueOpening(now, p, c)
+		if !h.queueOpening(now, p, c) {
+			h.forwardToNextCandidate(p, c, QueueTooLong)
+		}
 		return
 	}
+	h.recordArrival(now, c.Priority, h.openingStartDeadline(now, p, c))
 	h.admitOpening(now, p, c, false)
 }
 
@@ -115,12 +125,13 @@
 	delete(h.queue, p.Key)
 	h.forgetLostFlow(p.Key)
 	f := &flow{
-		phaseAt:   now,
-		keepUntil: now.Add(closedFlowTTL),
-		sequence:  p.Sequence,
-		balancer:  c.Balancer,
-		home:      c.Home,
-		queued:    queued,
+		phaseAt:    now,
+		keepUntil:  now.Add(closedFlowTTL),
+		inUseSince: now,
+		sequence:   p.Sequence,
+		balancer:   c.Balancer,
+		home:       c.Home,
+		queued:     queued,
 
 		callerEnd:      p.Sequence + p.Length(),
 		callerEndKnown: true,
@@ -153,7 +164,6 @@
 		h.recordLeastLoaded(c)
 		return FlowsFull, true
 	case h.inUse >= h.openingCapacity() && c.Flags&frame.Chosen == 0:
-		h.recordLeastLoaded(c)
 		return SlotsFull, true
 	default:
 		return 0, false
@@ -177,7 +187,12 @@
 // recordLeastLoaded records this candidate in the packet's header if it is the least
 // loaded one so far.
 func (h *Controller) recordLeastLoaded(c *frame.Forward) {
-	load := uint16(min((h.inUse+len(h.queue))*roster.LoadUnit/int(h.endpoint.slots), 0xffff))
+	h.recordLoad(c, h.inUse+len(h.queue))
+}
+
+// recordLoad records this candidate with a number of requests to be served before the SYN.
+func (h *Controller) recordLoad(c *frame.Forward, ahead int) {
+	load := uint16(min(ahead*roster.LoadUnit/int(h.endpoint.slots), 0xffff))
 	if c.Best == frame.NoBest || load < c.BestLoad {
 		c.Best = c.Position
 		c.BestLoad = load
--- a/internal/relay/admit/flow.go
+++ b/internal/relay/admit/flow.go
@@ -26,6 +26,8 @@
 	phase     phase
 	phaseAt   time.Time
 	keepUntil time.Time
+	// inUseSince is when the request in progress, or the SYN before it, was delivered.
+	inUseSince time.Time
 	// sequence is the caller's initial sequence number.
 	sequence uint32
 	// initial and highest bound the endpoint's sequence numbers, and so what the caller
@@ -109,6 +111,10 @@
 			Key: p.Key,
 			Raw: raw,
 		})
+		if f.phase == phaseIdle {
+			f.inUseSince = now
+			h.recordArrival(now, f.priority, now.Add(f.latencyTarget))
+		}
 		h.setPhase(f, phaseBusy)
 		f.phaseAt = now
 	}
@@ -193,6 +199,7 @@
 	if p.Payload > 0 && f.phase != phaseIdle {
 		if f.phase == phaseBusy {
 			h.recordServiceTime(now.Sub(f.phaseAt))
+			h.recordSlotTime(now.Sub(f.inUseSince))
 			h.emit(RequestAnswered{
 				Key:     p.Key,
 				Latency: now.Sub(f.phaseAt),
--- a/internal/relay/admit/load_test.go
+++ b/internal/relay/admit/load_test.go
@@ -71,12 +71,24 @@
 	clock  *clock.Clock
 	random *rand.Rand
 	agents []*simulatedAgent
-	calls  map[uint16]*simulatedCall
-	next   uint16
-	// priority is that of the SYNs.
-	priority uint8
+	calls  map[uint32]*simulatedCall
+	next   uint32
+	// kind is that of the calls of startCall.
+	kind *callKind
 	// warmAt is when endpoints stop being slow.
-	warmAt  time.Time
+	warmAt time.Time
+	// observer is told of refused SYNs, nil if nobody is.
+	observer func(flow uint32, c *simulatedCall)
+}
+
+// callKind is what calls of one route have in common, and their results.
+type callKind struct {
+	priority      uint8
+	latencyTarget time.Duration
+	timeout       time.Duration
+	averageWork   time.Duration
+	// closes is set if the flow ends with the answer.
+	closes  bool
 	outcome outcome
 }
 
@@ -85,7 +97,11 @@
 	host       frame.Host
 	controller *admit.Controller
 	busySlots  int
-	queue      []uint16
+	queue      []uint32
+	// slowdown multiplies the work of requests, 0 means 1.
+	slowdown float64
+	// away is set while balancers do not list the agent.
+	away bool
 }
 
 type simulatedCall struct {
@@ -93,25 +109,34 @@
 	attempts int
 	agent    *simulatedAgent
 	finished bool
-	// outcome is where the result is counted.
-	outcome *outcome
+	kind     *callKind
+	// work is what the request takes, 0 if it is drawn when the request runs.
+	work time.Duration
+	// startedAt is when the current attempt started, queuedAt the agent that holds its SYN.
+	startedAt time.Time
+	queuedAt  *simulatedAgent
 }
 
 // newLoadSimulation creates the endpoints of a load. slots is what they report: their
 // true number, or so many that all queueing happens at the endpoints.
-func newLoadSimulation(l load, slots int) *loadSimulation {
+func newLoadSimulation(l load, slots int, options ...admit.Option) *loadSimulation {
 	w := &loadSimulation{
-		load:     l,
-		clock:    clock.New(),
-		random:   rand.New(rand.NewPCG(1, 2)),
-		calls:    map[uint16]*simulatedCall{},
-		priority: 2,
+		load:   l,
+		clock:  clock.New(),
+		random: rand.New(rand.NewPCG(1, 2)),
+		calls:  map[uint32]*simulatedCall{},
+		kind: &callKind{
+			priority:      2,
+			latencyTarget: l.latencyTarget,
+			timeout:       callTimeout,
+			averageWork:   averageServiceTime,
+		},
 	}
 	for i := range l.endpoints {
 		s := &simulatedAgent{
 			simulation: w,
 			host:       frame.Host(i + 1),
-			controller: admit.New(frame.Host(i+1), service),
+			controller: admit.New(frame.Host(i+1), service, options...),
 		}
 		w.agents = append(w.agents, s)
 		s.step(admit.ReportReceived{
@@ -140,13 +165,13 @@
 		w.clock.After(at, func() { w.startCall(w.clock.Now()) })
 	}
 	w.clock.Run(w.clock.Now().Add(arrivalPeriod + 2*callTimeout))
-	return w.outcome
+	return w.kind.outcome
 }
 
 func (w *loadSimulation) startCall(dueAt time.Time) {
 	w.attempt(&simulatedCall{
-		dueAt:   dueAt,
-		outcome: &w.outcome,
+		dueAt: dueAt,
+		kind:  w.kind,
 	})
 }
 
@@ -155,12 +180,10 @@
 	w.next++
 	flow := w.next
 	w.calls[flow] = c
-	order := w.random.Perm(w.endpoints)[:min(maxCandidates, w.endpoints)]
-	list := make([]frame.Host, len(order))
-	for i, n := range order {
-		list[i] = frame.Host(n + 1)
-	}
-	w.clock.After(hopDelay, func() { w.agents[order[0]].forwardFromCaller(flow, list, false) })
+	c.startedAt = w.clock.Now()
+	c.queuedAt = nil
+	list := w.candidates()
+	w.clock.After(hopDelay, func() { w.agents[list[0]-1].forwardFromCaller(flow, list, 0) })
 	w.clock.After(1400*time.Millisecond, func() {
 		if c.agent == nil && w.calls[flow] == c {
 			w.endAttempt(flow, c)
@@ -168,47 +191,85 @@
 	})
 }
 
+// candidates returns the candidates of a new flow.
+func (w *loadSimulation) candidates() (list []frame.Host) {
+	for _, n := range w.random.Perm(w.endpoints) {
+		if !w.agents[n].away && len(list) < maxCandidates {
+			list = append(list, frame.Host(n+1))
+		}
+	}
+	return list
+}
+
 // endAttempt ends an attempt. The caller tries again while its limits allow.
-func (w *loadSimulation) endAttempt(flow uint16, c *simulatedCall) {
+func (w *loadSimulation) endAttempt(flow uint32, c *simulatedCall) {
 	delete(w.calls, flow)
 	if c.finished {
 		return
 	}
-	if c.attempts < maxAttempts && w.clock.Now().Before(c.dueAt.Add(callTimeout)) {
+	if c.attempts < maxAttempts && w.clock.Now().Before(c.dueAt.Add(c.kind.timeout)) {
 		w.clock.After(10*time.Millisecond, func() { w.attempt(c) })
 		return
 	}
 	c.finished = true
-	c.outcome.failed++
+	c.kind.outcome.failed++
 }
 
-// forwardFromCaller forwards a SYN or a request to an agent. The first byte of the
-// packet tells them apart, the other two hold the flow number.
-func (s *simulatedAgent) forwardFromCaller(flow uint16, list []frame.Host, request bool) {
+// Packets of callers, in the first byte of Forward.Packet. The other bytes hold the flow.
+const (
+	rawOpening = iota
+	rawRequest
+	rawFin
+)
+
+// forwardFromCaller forwards a packet of a caller to an agent.
+func (s *simulatedAgent) forwardFromCaller(flow uint32, list []frame.Host, raw byte) {
+	kind := s.simulation.kind
+	if c, ok := s.simulation.calls[flow]; ok {
+		kind = c.kind
+	}
 	c := &frame.Forward{
 		Best:            frame.NoBest,
-		LatencyTargetMS: uint16(s.simulation.latencyTarget.Milliseconds()),
-		Priority:        s.simulation.priority,
+		LatencyTargetMS: uint16(kind.latencyTarget.Milliseconds()),
+		Priority:        kind.priority,
 		Service:         spec.NewServiceID(service),
 		Balancer:        90,
 		Candidates:      list,
-		Packet:          []byte{0, byte(flow >> 8), byte(flow)},
+		Packet:          rawPacket(raw, flow),
 	}
-	if request {
+	if raw != rawOpening {
 		c.Flags = frame.Cached
-		c.Packet[0] = 1
+	}
+	p := newPacket(flow, raw != rawOpening)
+	if raw == rawFin {
+		p.Kind = link.Closing
+		p.Sequence += 10
+		p.Payload = 0
+		p.Flags |= flagFin
 	}
 	s.step(admit.PacketForEndpoint{
-		Packet:  newPacket(flow, request),
+		Packet:  p,
 		Forward: c,
 	})
 }
 
-func newPacket(flow uint16, request bool) link.Packet {
+func rawPacket(raw byte, flow uint32) []byte {
+	return []byte{raw, byte(flow >> 16), byte(flow >> 8), byte(flow)}
+}
+
+func flowOfRaw(raw []byte) uint32 {
+	return uint32(raw[1])<<16 | uint32(raw[2])<<8 | uint32(raw[3])
+}
+
+func flowOfKey(k link.Key) uint32 {
+	return (k.Caller-7)<<16 | uint32(k.CallerPort)
+}
+
+func newPacket(flow uint32, request bool) link.Packet {
 	p := link.Packet{
 		Key: link.Key{
-			Caller:     7,
-			CallerPort: flow,
+			Caller:     7 + flow>>16,
+			CallerPort: uint16(flow),
 		},
 		Kind:     link.Opening,
 		Sequence: 1000,
@@ -230,7 +291,7 @@
 }
 
 // sendFromEndpoint passes a packet of the endpoint to its agent.
-func (s *simulatedAgent) sendFromEndpoint(flow uint16, flags uint8, payload int) {
+func (s *simulatedAgent) sendFromEndpoint(flow uint32, flags uint8, payload int) {
 	p := newPacket(flow, false)
 	p.Kind = link.Continuing
 	p.Sequence = 500
@@ -246,15 +307,20 @@
 	for _, a := range append([]admit.Action(nil), s.controller.Step(w.clock.Now(), e)...) {
 		switch a := a.(type) {
 		case admit.Deliver:
-			flow := uint16(a.Raw[1])<<8 | uint16(a.Raw[2])
-			if a.Raw[0] == 1 {
+			flow := flowOfRaw(a.Raw)
+			switch a.Raw[0] {
+			case rawRequest:
 				s.handleRequest(flow)
-				continue
+			case rawOpening:
+				w.clock.After(time.Microsecond, func() { s.answerOpening(flow) })
+			}
+		case admit.AnnounceOwner:
+			if c, ok := w.calls[flowOfKey(a.Owner.Key)]; ok {
+				c.queuedAt = s
 			}
-			w.clock.After(time.Microsecond, func() { s.answerOpening(flow) })
 		case admit.ForwardToCandidate:
 			c := *a.Forward
-			flow := a.Key.CallerPort
+			flow := flowOfKey(a.Key)
 			w.clock.After(hopDelay, func() {
 				w.agents[a.To-1].step(admit.PacketForEndpoint{
 					Packet:  newPacket(flow, false),
@@ -262,8 +328,11 @@
 				})
 			})
 		case admit.ReturnToBalancer:
-			flow := a.Key.CallerPort
+			flow := flowOfKey(a.Key)
 			if c, ok := w.calls[flow]; ok {
+				if w.observer != nil {
+					w.observer(flow, c)
+				}
 				w.clock.After(2*hopDelay, func() { w.endAttempt(flow, c) })
 			}
 		}
@@ -271,18 +340,18 @@
 }
 
 // answerOpening answers a SYN. The caller's request follows one round trip later.
-func (s *simulatedAgent) answerOpening(flow uint16) {
+func (s *simulatedAgent) answerOpening(flow uint32) {
 	s.sendFromEndpoint(flow, flagSyn|flagAck, 0)
 	c, ok := s.simulation.calls[flow]
 	if !ok {
 		return
 	}
 	c.agent = s
-	s.simulation.clock.After(2*hopDelay, func() { s.forwardFromCaller(flow, []frame.Host{s.host}, true) })
+	s.simulation.clock.After(2*hopDelay, func() { s.forwardFromCaller(flow, []frame.Host{s.host}, rawRequest) })
 }
 
 // handleRequest runs, queues or sheds a request at the endpoint.
-func (s *simulatedAgent) handleRequest(flow uint16) {
+func (s *simulatedAgent) handleRequest(flow uint32) {
 	switch {
 	case s.busySlots < s.simulation.slots:
 		s.runRequest(flow)
@@ -297,10 +366,19 @@
 	}
 }
 
-func (s *simulatedAgent) runRequest(flow uint16) {
+func (s *simulatedAgent) runRequest(flow uint32) {
 	s.busySlots++
 	w := s.simulation
-	work := time.Duration(float64(averageServiceTime) * (0.5 + w.random.Float64()))
+	work := time.Duration(0)
+	if c, ok := w.calls[flow]; ok {
+		work = c.work
+	}
+	if work == 0 {
+		work = time.Duration(float64(w.kind.averageWork) * (0.5 + w.random.Float64()))
+	}
+	if s.slowdown > 0 {
+		work = time.Duration(float64(work) * s.slowdown)
+	}
 	if w.clock.Now().Before(w.warmAt) {
 		work = time.Duration(float64(work) * coldFactor)
 	}
@@ -311,12 +389,21 @@
 			s.queue = s.queue[1:]
 			s.runRequest(next)
 		}
+		closes := false
+		if c, ok := w.calls[flow]; ok {
+			closes = c.kind.closes
+		}
 		w.recordAnswer(flow)
-		s.sendFromEndpoint(flow, flagAck, 10)
+		if !closes {
+			s.sendFromEndpoint(flow, flagAck, 10)
+			return
+		}
+		s.sendFromEndpoint(flow, flagAck|flagFin, 10)
+		w.clock.After(2*hopDelay, func() { s.forwardFromCaller(flow, []frame.Host{s.host}, rawFin) })
 	})
 }
 
-func (w *loadSimulation) recordAnswer(flow uint16) {
+func (w *loadSimulation) recordAnswer(flow uint32) {
 	c, ok := w.calls[flow]
 	if !ok || c.finished {
 		return
@@ -324,12 +411,12 @@
 	delete(w.calls, flow)
 	c.finished = true
 	switch took := w.clock.Now().Add(hopDelay).Sub(c.dueAt); {
-	case took <= w.latencyTarget:
-		c.outcome.onTarget++
-	case took <= callTimeout:
-		c.outcome.late++
+	case took <= c.kind.latencyTarget:
+		c.kind.outcome.onTarget++
+	case took <= c.kind.timeout:
+		c.kind.outcome.late++
 	default:
-		c.outcome.failed++
+		c.kind.outcome.failed++
 	}
 }
 
--- a/internal/relay/admit/overload_test.go
+++ b/internal/relay/admit/overload_test.go
@@ -36,24 +36,29 @@
 // flows. slots is what the endpoints report.
 func simulateOverload(l overload, slots int) (urgent, longFlows outcome) {
 	w := newLoadSimulation(l.load, slots)
-	w.priority = 1
+	w.kind.priority = 1
 	w.warmAt = w.clock.Now()
 	list := make([]*longFlow, l.longFlows)
 	for i := range list {
 		list[i] = &longFlow{
 			agent: w.agents[i%len(w.agents)],
 		}
-		list[i].open(firstLongFlowPort + uint16(i))
+		list[i].open(firstLongFlowPort + uint32(i))
 	}
 	w.clock.Run(w.clock.Now().Add(time.Second))
 	for at := time.Duration(0); at < l.period; at += exponential(w.random, l.callsPerSecond) {
 		w.clock.After(at, func() { w.startCall(w.clock.Now()) })
 	}
+	kind := &callKind{
+		priority:      2,
+		latencyTarget: l.latencyTarget,
+		timeout:       callTimeout,
+	}
 	var asked []*simulatedCall
 	for at := time.Duration(0); at < l.period; at += exponential(w.random, l.longFlowRequestsPerSecond) {
 		w.clock.After(at, func() {
 			i := w.random.IntN(len(list))
-			flow := firstLongFlowPort + uint16(i)
+			flow := firstLongFlowPort + uint32(i)
 			if _, waits := w.calls[flow]; waits {
 				return
 			}
@@ -61,7 +66,7 @@
 				dueAt:    w.clock.Now(),
 				attempts: maxAttempts,
 				agent:    list[i].agent,
-				outcome:  &longFlows,
+				kind:     kind,
 			}
 			asked = append(asked, c)
 			w.calls[flow] = c
@@ -74,8 +79,9 @@
 		})
 	}
 	w.clock.Run(w.clock.Now().Add(l.period + 2*callTimeout))
+	longFlows = kind.outcome
 	Expect(longFlows.onTarget + longFlows.late + longFlows.failed).To(Equal(len(asked)))
-	return w.outcome, longFlows
+	return w.kind.outcome, longFlows
 }
 
 // averageLoad returns the load of the service as balancers know it from reports.
@@ -93,14 +99,14 @@
 	return time.Duration(float64(time.Second) * r.ExpFloat64() / rate)
 }
 
-func (f *longFlow) open(flow uint16) {
+func (f *longFlow) open(flow uint32) {
 	f.agent.step(admit.PacketForEndpoint{
 		Packet:  newPacket(flow, false),
 		Forward: f.newForward(flow, 0),
 	})
 }
 
-func (f *longFlow) sendRequest(flow uint16) {
+func (f *longFlow) sendRequest(flow uint32) {
 	p := newPacket(flow, true)
 	p.Sequence += 10 * f.requests
 	f.requests++
@@ -112,7 +118,7 @@
 	})
 }
 
-func (f *longFlow) newForward(flow uint16, kind byte) *frame.Forward {
+func (f *longFlow) newForward(flow uint32, kind byte) *frame.Forward {
 	c := &frame.Forward{
 		Best:            frame.NoBest,
 		LatencyTargetMS: uint16(f.agent.simulation.latencyTarget.Milliseconds()),
@@ -120,7 +126,7 @@
 		Service:         spec.NewServiceID(service),
 		Balancer:        90,
 		Candidates:      []frame.Host{f.agent.host},
-		Packet:          []byte{kind, byte(flow >> 8), byte(flow)},
+		Packet:          rawPacket(kind, flow),
 	}
 	if kind == 1 {
 		c.Flags = frame.Cached
--- a/internal/relay/admit/queue.go
+++ b/internal/relay/admit/queue.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/relay/shed"
 	"github.com/clementinewing/clementinewing/internal/world/link"
 )
 
@@ -12,7 +13,7 @@
 // slots can do for a second or two. In a plain queue every request, including the
 // latest, is then delayed by the length of the queue. Here a request that can still meet
 // its latency target goes before one that cannot; the late ones get the remaining slots.
-// None is dropped before its caller gives up.
+// None is dropped before its caller gives up, unless WithLoadShedding is set.
 const (
 	// maxQueued bounds the queue: one second of work of the busiest endpoints seen, with
 	// 7 slots and 60 ms per request.
@@ -53,6 +54,9 @@
 	callerDeadline time.Time
 	// startDeadline is the latest start with which a request meets its latency target.
 	startDeadline time.Time
+	// offeredUntil is set while a SYN that cannot be served here is offered to the other
+	// candidates: until when it may come back.
+	offeredUntil time.Time
 }
 
 // recordServiceTime records the time from a request to the first byte of its answer.
@@ -66,20 +70,34 @@
 	h.openingCredit = min(h.openingCredit+openingShare, 1)
 }
 
-// queueOpening queues a SYN until a slot is free.
-func (h *Controller) queueOpening(now time.Time, p link.Packet, c *frame.Forward) {
+// queueOpening queues a SYN until a slot is free. It reports false if the SYN cannot be served.
+func (h *Controller) queueOpening(now time.Time, p link.Packet, c *frame.Forward) bool {
 	kept := *c
 	kept.Packet = append([]byte(nil), c.Packet...)
-	target := time.Duration(c.LatencyTargetMS) * time.Millisecond
-	w := &queueEntry{
+	w := h.newQueuedOpening(now, p, &kept)
+	if !h.joinsQueue(now, w) {
+		return false
+	}
+	h.queue[p.Key] = w
+	h.announceQueued(w)
+	return true
+}
+
+func (h *Controller) newQueuedOpening(now time.Time, p link.Packet, c *frame.Forward) *queueEntry {
+	return &queueEntry{
 		packet:         p,
-		forward:        &kept,
+		forward:        c,
 		queuedAt:       now,
 		callerDeadline: now.Add(attemptTimeout - minAttemptRemaining - copyAge(p)),
-		startDeadline:  now.Add(target - time.Duration(serviceTimeMargin*float64(h.serviceTime)) - copyAge(p)),
+		startDeadline:  h.openingStartDeadline(now, p, c),
 	}
-	h.queue[p.Key] = w
-	h.announceQueued(w)
+}
+
+// openingStartDeadline returns the latest start with which the request that follows a SYN meets
+// its latency target.
+func (h *Controller) openingStartDeadline(now time.Time, p link.Packet, c *frame.Forward) time.Time {
+	target := time.Duration(c.LatencyTargetMS) * time.Millisecond
+	return now.Add(target - time.Duration(serviceTimeMargin*float64(h.serviceTime)) - copyAge(p))
 }
 
 // copyAge returns how long ago the caller first sent a SYN. The acknowledgment field of
@@ -148,6 +166,13 @@
 // expireQueued removes entries whose callers have given up.
 func (h *Controller) expireQueued(now time.Time) {
 	for key, w := range h.queue {
+		if !w.offeredUntil.IsZero() {
+			// Another candidate has taken the SYN, or it was lost and its caller sends it again.
+			if now.After(w.offeredUntil) {
+				delete(h.queue, key)
+			}
+			continue
+		}
 		if !now.After(w.callerDeadline) {
 			continue
 		}
@@ -181,6 +206,9 @@
 func (h *Controller) nextQueued(now time.Time) (best *queueEntry) {
 	openings, requests := h.capacityLeft()
 	for _, w := range h.queue {
+		if !w.offeredUntil.IsZero() {
+			continue
+		}
 		may := openings
 		if w.flow != nil {
 			may = requests
@@ -216,17 +244,18 @@
 
 // before reports whether an entry is served before another one.
 func (w *queueEntry) before(o *queueEntry, now time.Time) bool {
-	onTime, otherOnTime := now.Before(w.startDeadline), now.Before(o.startDeadline)
-	switch {
-	case onTime != otherOnTime:
-		return onTime
-	case onTime && w.priority() != o.priority():
-		return w.priority() < o.priority()
-	case onTime && !w.startDeadline.Equal(o.startDeadline):
-		return w.startDeadline.Before(o.startDeadline)
-	case !w.queuedAt.Equal(o.queuedAt):
-		return w.queuedAt.After(o.queuedAt)
-	default:
-		return w.packet.Sequence < o.packet.Sequence
+	r, other := w.request(), o.request()
+	return r.Before(&other, now)
+}
+
+// request returns the entry as it is ordered.
+func (w *queueEntry) request() shed.Request {
+	return shed.Request{
+		Priority:  w.priority(),
+		ArrivedAt: w.queuedAt,
+		StartBy:   w.startDeadline,
+		GiveUpAt:  w.callerDeadline,
+		Held:      w.flow != nil,
+		Sequence:  w.packet.Sequence,
 	}
 }
--- a/internal/relay/admit/reason.go
+++ b/internal/relay/admit/reason.go
@@ -56,6 +56,8 @@
 	Registered
 	// Unregistered: no balancer can register this agent, which serves all the same.
 	Unregistered
+	// QueueTooLong: the SYN cannot be served before its caller gives up.
+	QueueTooLong
 
 	reasonCount
 )
@@ -85,6 +87,7 @@
 	FlowEnded:         "flow_ended",
 	Registered:        "registered",
 	Unregistered:      "unregistered",
+	QueueTooLong:      "queue_too_long",
 }
 
 // Reasons returns all reasons.
--- a/internal/relay/admit/request.go
+++ b/internal/relay/admit/request.go
@@ -47,6 +47,9 @@
 	if s := h.endpoint.state(); s == node.Draining || s == node.Gone {
 		return math.MaxInt
 	}
+	if h.estimator != nil {
+		return h.openingCapacity()
+	}
 	return max(maxRequestsPerSlot*int(h.endpoint.slots), h.openingCapacity()+1)
 }
 
@@ -55,7 +58,7 @@
 func (h *Controller) queueRequest(now time.Time, f *flow, p link.Packet, c *frame.Forward) bool {
 	w, ok := h.queue[p.Key]
 	if !ok || w.flow != f {
-		if c.AverageLoad < minServiceLoad || f.phase != phaseIdle || f.fins != 0 || !f.hasNewBytes(p) {
+		if f.phase != phaseIdle || f.fins != 0 || !f.hasNewBytes(p) {
 			return false
 		}
 		if h.inUse < h.requestCapacity() || len(h.queue) >= maxQueued {
@@ -68,6 +71,9 @@
 			queuedAt:      now,
 			startDeadline: now.Add(f.latencyTarget - time.Duration(serviceTimeMargin*float64(h.serviceTime))),
 		}
+		if c.AverageLoad < minServiceLoad && !h.waitsInTurn(now, w) {
+			return false
+		}
 		h.queue[p.Key] = w
 		h.emit(RequestQueued{
 			Key:         p.Key,
--- a/internal/relay/admit/share_test.go
+++ b/internal/relay/admit/share_test.go
@@ -29,7 +29,7 @@
 		taken := 0
 		for i := range uint16(returning) {
 			now = now.Add(time.Millisecond)
-			p := newPacket(i, false)
+			p := newPacket(uint32(i), false)
 			for _, a := range h.Step(now, admit.PacketForEndpoint{
 				Packet:  p,
 				Forward: newForward(perSlot),
@@ -41,7 +41,7 @@
 						Packet: p,
 					})
 					// The request is answered at once, so that slots are not the limit.
-					q := newPacket(i, true)
+					q := newPacket(uint32(i), true)
 					q.Sequence = p.Sequence + 1
 					q.Flags = flagAck
 					h.Step(now, admit.PacketFromEndpoint{
--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -110,6 +110,9 @@
 	} else if a.endpointRefuses() {
 		controllerOptions = append(controllerOptions, admit.EndpointAbsent())
 	}
+	if s.Features.LoadShedding {
+		controllerOptions = append(controllerOptions, admit.WithLoadShedding())
+	}
 	a.controller = admit.New(a.self, s.Service, controllerOptions...)
 	if a.inner, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(s.Address, s.InnerPort))); err != nil {
 		return nil, err
--- a/internal/relay/agent/packets.go
+++ b/internal/relay/agent/packets.go
@@ -158,6 +158,9 @@
 			a.send(x.To, x.Owner)
 		case admit.DenyOwnership:
 			a.send(x.To, x.Denial)
+		case admit.OpeningShed:
+			a.counts.shed++
+			a.logShed(x)
 		case admit.RequestQueued:
 			a.counts.queued++
 			a.logRequestQueued(x)
--- a/internal/relay/agent/serve.go
+++ b/internal/relay/agent/serve.go
@@ -122,6 +122,16 @@
 		Msg("request given to endpoint")
 }
 
+func (a *Agent) logShed(x admit.OpeningShed) {
+	a.log.Important.Info().
+		Str("flow", x.Key.String()).
+		Uint8("priority", x.Priority).
+		Int64("after_ms", x.QueueTime.Milliseconds()).
+		Int("queued", x.Queued).
+		Int("in_use", x.InUse).
+		Msg("queued opening cannot be served in time; other candidates are asked")
+}
+
 func (a *Agent) logRequestQueued(w admit.RequestQueued) {
 	a.log.Routine.Info().
 		Str("flow", w.Key.String()).
--- a/internal/relay/agent/state.go
+++ b/internal/relay/agent/state.go
@@ -38,7 +38,9 @@
 	requests  uint64
 	queued    uint64
 	abandoned uint64
-	reports   uint64
+	// shed counts SYNs that left the queue because they could not be served in time.
+	shed    uint64
+	reports uint64
 	// reportsRefused counts reports and notices that were not acknowledged.
 	reportsRefused uint64
 	probes         uint64
@@ -64,6 +66,7 @@
 		{Name: "requests", Value: c.requests},
 		{Name: "requests_held", Value: c.queued},
 		{Name: "requests_given_up", Value: c.abandoned},
+		{Name: "openings_shed", Value: c.shed},
 		{Name: "endpoint_reports", Value: c.reports},
 		{Name: "endpoint_reports_refused", Value: c.reportsRefused},
 		{Name: "endpoint_probes", Value: c.probes},
@@ -79,9 +82,13 @@
 			meter.Total{Name: "given_back", Reason: r.String(), Value: c.returned[r]},
 		)
 	}
+	q := a.controller.Shedding(time.Now())
 	s.Levels = []meter.Level{
 		{Name: "in_use", Value: float64(a.controller.InUse())},
 		{Name: "flows", Value: float64(a.controller.Flows())},
+		{Name: "queued_openings", Value: float64(q.Openings)},
+		{Name: "queued_requests", Value: float64(q.Requests)},
+		{Name: "slot_time_ms", Value: float64(q.SlotTime.Milliseconds())},
 		{Name: "balancers", Value: float64(len(a.balancers.Hosts()))},
 	}
 	return s
@@ -100,6 +107,19 @@
 	// Registered reports whether the member record lists the agent, as far as it knows.
 	Registered bool     `json:"registered"`
 	Balancers  []string `json:"balancers"`
+	// Queue is what waits for a slot.
+	Queue QueueState `json:"queue"`
+}
+
+// QueueState is the published state of an agent's queue. The last two fields are 0 unless load
+// shedding is enabled.
+type QueueState struct {
+	Openings int `json:"openings"`
+	Requests int `json:"requests"`
+	// SlotTimeMS is the average time that a request occupies a slot, ArrivalsPerSecond the rate
+	// of the requests that the endpoint serves in time.
+	SlotTimeMS        int64   `json:"slot_time_ms"`
+	ArrivalsPerSecond float64 `json:"arrivals_per_second"`
 }
 
 // State returns the agent's current state.
@@ -107,6 +127,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	l := a.controller.Load(time.Now())
+	q := a.controller.Shedding(time.Now())
 	s := State{
 		Service: a.settings.Service,
 		State:   l.State.String(),
@@ -117,6 +138,12 @@
 
 		SawAllFlows: a.controller.SawAllFlows(),
 		Registered:  l.Registered,
+		Queue: QueueState{
+			Openings:          q.Openings,
+			Requests:          q.Requests,
+			SlotTimeMS:        q.SlotTime.Milliseconds(),
+			ArrivalsPerSecond: q.ArrivalRate,
+		},
 	}
 	for _, h := range a.balancers.Hosts() {
 		s.Balancers = append(s.Balancers, h.String())
