--- a/internal/relay/admit/delivery.go
+++ b/internal/relay/admit/delivery.go
@@ -73,7 +73,7 @@
 		return
 	}
 	if h.inUse >= h.openingCapacity() {
-		if len(h.queue) >= maxQueued {
+		if h.queueFull(false) {
 			h.forwardToNextCandidate(p, c, QueueFull)
 			return
 		}
--- a/internal/relay/admit/request.go
+++ b/internal/relay/admit/request.go
@@ -61,7 +61,7 @@
 		if f.phase != phaseIdle || f.fins != 0 || !f.hasNewBytes(p) {
 			return false
 		}
-		if h.inUse < h.requestCapacity() || len(h.queue) >= maxQueued {
+		if h.inUse < h.requestCapacity() || h.queueFull(true) {
 			return false
 		}
 		w = &queueEntry{
@@ -71,7 +71,7 @@
 			queuedAt:      now,
 			startDeadline: now.Add(f.latencyTarget - time.Duration(serviceTimeMargin*float64(h.serviceTime))),
 		}
-		if c.AverageLoad < minServiceLoad && !h.waitsInTurn(now, w) {
+		if !h.serviceOverloaded(c) && !h.waitsInTurn(now, w) {
 			return false
 		}
 		h.queue[p.Key] = w
--- a/internal/relay/admit/script_test.go
+++ b/internal/relay/admit/script_test.go
@@ -26,7 +26,7 @@
 // EndpointUnreachable, ask OwnerQueried, settled ListComplete, unsure CandidateSilent,
 // share FlowsPerSlot, aim LatencyTargetMS, urgency Priority, busy AverageLoad, hand on
 // ForwardToCandidate, back ReturnToBalancer, walked ListExhausted, sure Conclusive, tell
-// AnnounceOwner, waits RequestQueued, given up RequestAbandoned, served RequestAnswered.
+// AnnounceOwner, waits RequestQueued, given up RequestAbandoned, shed OpeningShed, served RequestAnswered.
 var _ = Describe("Hold", func() {
 	cases, err := script.Read("testdata/*.txt")
 	if err != nil {
@@ -58,6 +58,9 @@
 	if strings.Contains(c.Name, "[unregistered]") {
 		options = append(options, admit.NeedsRegistration())
 	}
+	if strings.Contains(c.Name, "[shedding]") {
+		options = append(options, admit.WithLoadShedding())
+	}
 	h := admit.New(self, service, options...)
 	for i := range c.Lines {
 		l := &c.Lines[i]
@@ -276,6 +279,8 @@
 			text += ", ended"
 		}
 		return text
+	case admit.OpeningShed:
+		return fmt.Sprintf("shed %d", a.Key.CallerPort)
 	case admit.RequestQueued:
 		return fmt.Sprintf("waits %d", a.Key.CallerPort)
 	case admit.RequestAbandoned:
--- a/internal/relay/admit/shedding.go
+++ b/internal/relay/admit/shedding.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/relay/roster"
 	"github.com/clementinewing/clementinewing/internal/relay/shed"
 	"github.com/clementinewing/clementinewing/internal/world/link"
 )
@@ -28,6 +29,10 @@
 
 func (OpeningShed) action() {}
 
+// maxQueuedRequests bounds the requests on open flows that wait with WithLoadShedding. They stay
+// until their callers give up, and must neither keep SYNs out of the queue nor pass it.
+const maxQueuedRequests = 2 * maxQueued
+
 // Shedding describes the queue of an endpoint.
 type Shedding struct {
 	// Openings and Requests are the numbers of SYNs and of requests on open flows that wait.
@@ -64,6 +69,23 @@
 	return s
 }
 
+// queueFull reports whether the queue takes no further SYN, or no further request on an open flow.
+func (h *Controller) queueFull(request bool) bool {
+	if h.estimator == nil || len(h.queue) < maxQueued {
+		return len(h.queue) >= maxQueued
+	}
+	same := 0
+	for _, w := range h.queue {
+		if (w.flow != nil) == request {
+			same++
+		}
+	}
+	if request {
+		return same >= maxQueuedRequests
+	}
+	return same >= maxQueued
+}
+
 // recordSlotTime records how long an answered request was in use, which it still is.
 func (h *Controller) recordSlotTime(took time.Duration) {
 	if h.estimator != nil {
@@ -71,10 +93,10 @@
 	}
 }
 
-// recordArrival records a request that the endpoint takes, if it can be in time.
+// recordArrival records a request that the endpoint is given.
 func (h *Controller) recordArrival(now time.Time, priority uint8, startDeadline time.Time) {
-	if h.estimator != nil && now.Before(startDeadline) {
-		h.estimator.RecordArrival(now, priority)
+	if h.estimator != nil {
+		h.estimator.RecordArrival(now, priority, now.Before(startDeadline))
 	}
 }
 
@@ -132,7 +154,7 @@
 	q := h.waiting()
 	r := h.newQueuedOpening(now, p, c).request()
 	_, served, ahead := h.estimator.Serves(now, q, &r, shed.Certain)
-	if !served || len(h.queue) >= maxQueued {
+	if !served || h.queueFull(false) {
 		return QueueTooLong
 	}
 	h.recordLoad(c, ahead)
@@ -146,14 +168,26 @@
 	}
 	q := h.waiting()
 	r := w.request()
-	onTime, served, _ := h.estimator.Serves(now, q, &r, shed.Expected)
-	if onTime {
-		h.estimator.RecordArrival(now, r.Priority)
+	onTime, served, _ := h.estimator.Serves(now, q, &r, shed.Certain)
+	if served {
+		h.estimator.RecordArrival(now, r.Priority, onTime)
 	}
 	h.queueChanged = true
 	return served
 }
 
+// minServiceLoadShedding is minServiceLoad with WithLoadShedding: every slot of the service in
+// use. Endpoints then get hardly more than their slots, so that the load does not rise further.
+const minServiceLoadShedding = roster.LoadUnit
+
+// serviceOverloaded reports whether the service of an open flow has no capacity elsewhere.
+func (h *Controller) serviceOverloaded(c *frame.Forward) bool {
+	if h.estimator == nil {
+		return float64(c.AverageLoad) >= minServiceLoad
+	}
+	return c.AverageLoad >= minServiceLoadShedding
+}
+
 // waitsInTurn reports whether a request on an open flow waits for a slot although the service has
 // capacity elsewhere. It does while it can be in time, or while a request of higher priority
 // waits that can. Otherwise the endpoint gets it and may refuse it, so that its caller can try
--- a/internal/relay/agent/packets.go
+++ b/internal/relay/agent/packets.go
@@ -158,15 +158,8 @@
 			a.send(x.To, x.Owner)
 		case admit.DenyOwnership:
 			a.send(x.To, x.Denial)
-		case admit.OpeningShed:
-			a.counts.shed++
-			a.logShed(x)
-		case admit.RequestQueued:
-			a.counts.queued++
-			a.logRequestQueued(x)
-		case admit.RequestAbandoned:
-			a.counts.abandoned++
-			a.logRequestAbandoned(x)
+		case admit.OpeningShed, admit.RequestQueued, admit.RequestAbandoned:
+			a.recordQueue(x)
 		case admit.FlowAccepted:
 			a.recordAccepted(x)
 		case admit.RequestStarted:
@@ -186,6 +179,21 @@
 	}
 }
 
+// recordQueue counts and logs what happens to queued SYNs and requests.
+func (a *Agent) recordQueue(x admit.Action) {
+	switch x := x.(type) {
+	case admit.OpeningShed:
+		a.counts.shed++
+		a.logShed(x)
+	case admit.RequestQueued:
+		a.counts.queued++
+		a.logRequestQueued(x)
+	case admit.RequestAbandoned:
+		a.counts.abandoned++
+		a.logRequestAbandoned(x)
+	}
+}
+
 func (a *Agent) sendToCaller(k link.Key, raw []byte) {
 	if _, err := a.outbound.WriteToUDPAddrPort(raw, a.codec.Caller(k)); err != nil {
 		a.counts.sendErrors++
--- a/internal/relay/shed/shed.go
+++ b/internal/relay/shed/shed.go
@@ -26,10 +26,20 @@
 	// ratePeriod is the time constant of the arrival rates. It is shorter than a caller's
 	// attempt, so that what an attempt can expect is known before it ends.
 	ratePeriod = time.Second
+	// recentPeriod is that of the rate of all requests, which tells sooner that an overload has
+	// begun: about the time in which the requests in time fill the queue.
+	recentPeriod = 200 * time.Millisecond
+	// idleRate is the arrival rate below which the rates are learned anew, minLearned the time
+	// for which the first arrivals count at least.
+	idleRate   = 1.0
+	minLearned = 100 * time.Millisecond
 	// priorities is the number of priorities told apart. Lower ones share the last rate.
 	priorities = 8
 	// workVariance is the squared coefficient of variation of slot times.
 	workVariance = 0.25
+	// minQueued is the number of requests that may wait although they may turn out too many:
+	// fewer could leave a slot empty while requests are refused.
+	minQueued = 2
 	// slotTimeError is the relative error of the average slot time.
 	slotTimeError = 0.1
 )
@@ -84,16 +94,16 @@
 }
 
 // Confidence says how the uncertainty of an estimate counts.
-type Confidence int
+type Confidence float64
 
 const (
-	// Certain asks whether a request can be served although the estimate may be too low: for
-	// requests that another endpoint may serve instead.
-	Certain Confidence = 1
+	// Certain asks whether a request can be served even if the estimate is too low by two
+	// and a half standard deviations: a request that joins the queue is not to be refused later.
+	Certain Confidence = 2.5
 	// Expected takes the estimate as it is.
 	Expected Confidence = 0
-	// Possible asks whether a request can be served if the estimate is too high: what fails is
-	// refused although it has waited.
+	// Possible asks whether a request can be served if the estimate is too high by one: what
+	// has waited is refused only if it would wait in vain.
 	Possible Confidence = -1
 )
 
@@ -101,9 +111,13 @@
 type Estimator struct {
 	// slotTime is the average time in seconds that a request occupies a slot.
 	slotTime float64
-	// rates are the arrival rates of requests in time by priority, per second, at ratesAt.
-	rates   [priorities]float64
-	ratesAt time.Time
+	// rates are the averages at ratesAt of the arrivals per second of requests in time, by
+	// priority. They have been averaged since startedAt.
+	rates     [priorities]float64
+	ratesAt   time.Time
+	startedAt time.Time
+	// recent is the rate of all priorities over recentPeriod.
+	recent float64
 }
 
 // New returns an Estimator that assumes a slot time until the first answer.
@@ -125,10 +139,16 @@
 	e.slotTime += (sample - e.slotTime) * answerWeight
 }
 
-// RecordArrival records the arrival of a request that the endpoint is to serve in time.
-func (e *Estimator) RecordArrival(now time.Time, priority uint8) {
+// RecordArrival records the arrival of a request that the endpoint is to serve, in time or not.
+func (e *Estimator) RecordArrival(now time.Time, priority uint8, onTime bool) {
 	e.decay(now)
-	e.rates[min(priority, priorities-1)] += 1 / ratePeriod.Seconds()
+	if e.rateSum() < idleRate {
+		e.startedAt = now
+	}
+	if onTime {
+		e.rates[min(priority, priorities-1)] += 1 / ratePeriod.Seconds()
+	}
+	e.recent += 1 / recentPeriod.Seconds()
 }
 
 func (e *Estimator) decay(now time.Time) {
@@ -137,6 +157,7 @@
 		for i := range e.rates {
 			e.rates[i] *= factor
 		}
+		e.recent *= math.Exp(-float64(now.Sub(e.ratesAt)) / float64(recentPeriod))
 		e.ratesAt = now
 	}
 }
@@ -152,11 +173,21 @@
 	return e.rateBefore(priorities)
 }
 
-// rateBefore returns the arrival rate of requests above a priority.
+// rateBefore returns the arrival rate of requests above a priority. An average over less than
+// ratePeriod is scaled up: an endpoint that has just come back does not know yet what else
+// arrives, and would queue too much.
 func (e *Estimator) rateBefore(priority uint8) (rate float64) {
 	for _, r := range e.rates[:min(priority, priorities)] {
 		rate += r
 	}
+	learned := max(e.ratesAt.Sub(e.startedAt), minLearned)
+	return rate / (1 - math.Exp(-float64(learned)/float64(ratePeriod)))
+}
+
+func (e *Estimator) rateSum() (rate float64) {
+	for _, r := range e.rates {
+		rate += r
+	}
 	return rate
 }
 
@@ -198,6 +229,10 @@
 			before++
 		}
 	}
+	if before < minQueued {
+		// The endpoint is about to have nothing to do.
+		c = min(c, Expected)
+	}
 	if r.OnTime(now) && e.startsOnTime(now, q, r, before, c) {
 		return true, true, q.InUse + before
 	}
@@ -215,7 +250,11 @@
 
 // lateWait returns how long a request waits that gets only what requests in time leave over.
 func (e *Estimator) lateWait(q *Queue, ahead int, c Confidence) time.Duration {
-	return e.wait(q, ahead, e.rateBefore(priorities), c)
+	rate := e.rateBefore(priorities)
+	if c == Certain {
+		rate = max(rate, e.recent)
+	}
+	return e.wait(q, ahead, rate, c)
 }
 
 // maxWait is the longest wait estimated.
@@ -228,14 +267,15 @@
 	if finish <= 0 {
 		return 0
 	}
-	// A rate averaged over a period has the variance of a Poisson process.
-	rate = max(0, rate+float64(c)*math.Sqrt(rate/(2*ratePeriod.Seconds())))
-	left := float64(q.Slots)/e.slotTime - rate
+	capacity := float64(q.Slots) / e.slotTime
+	left := capacity - rate
 	if left <= 0 {
 		return maxWait
 	}
 	mean := finish / left
-	deviation := math.Sqrt(workVariance*finish+rate*mean)/left + slotTimeError*mean
+	// Slot times and arrivals vary, and so do their averages.
+	deviation := math.Hypot(math.Sqrt(workVariance*finish+rate*mean),
+		mean*math.Hypot(math.Sqrt(rate/(2*ratePeriod.Seconds())), slotTimeError*capacity)) / left
 	seconds := max(0, mean+float64(c)*deviation)
 	if seconds >= maxWait.Seconds() {
 		return maxWait
