--- a/internal/relay/admit/delivery.go
+++ b/internal/relay/admit/delivery.go
@@ -55,6 +55,10 @@
 		return
 	}
 	if w, waits := h.queue[p.Key]; waits && w.flow == nil && w.packet.Sequence == p.Sequence {
+		if !w.offeredUntil.IsZero() {
+			h.handleOffered(now, w, c)
+			return
+		}
 		w.forward.Balancer = c.Balancer
 		h.announceQueued(w)
 		return
@@ -63,17 +67,23 @@
 		return
 	}
 	if reason, rejected := h.rejectReason(now, c); rejected {
+		if reason == SlotsFull {
+			reason = h.offerQueue(now, p, c)
+		}
 		h.forwardToNextCandidate(p, c, reason)
 		return
 	}
 	if h.inUse >= h.openingCapacity() || h.coldFull(now) {
-		if len(h.queue) >= maxQueued {
+		if h.queueFull(false) {
 			h.forwardToNextCandidate(p, c, QueueFull)
 			return
 		}
-		h.queueOpening(now, p, c)
+		if !h.queueOpening(now, p, c) {
+			h.forwardToNextCandidate(p, c, QueueTooLong)
+		}
 		return
 	}
+	h.recordArrival(now, c.Priority, h.openingStartDeadline(now, p, c))
 	h.admitOpening(now, p, c, false)
 }
 
@@ -117,12 +127,13 @@
 	delete(h.queue, p.Key)
 	h.forgetLostFlow(p.Key)
 	f := &flow{
-		phaseAt:   now,
-		keepUntil: now.Add(closedFlowTTL),
-		sequence:  p.Sequence,
-		balancer:  c.Balancer,
-		home:      c.Home,
-		queued:    queued,
+		phaseAt:    now,
+		keepUntil:  now.Add(closedFlowTTL),
+		inUseSince: now,
+		sequence:   p.Sequence,
+		balancer:   c.Balancer,
+		home:       c.Home,
+		queued:     queued,
 
 		callerEnd:      p.Sequence + p.Length(),
 		callerEndKnown: true,
@@ -167,7 +178,6 @@
 		h.recordLeastLoaded(c, 0)
 		return SlowStart, true
 	case h.inUse >= h.openingCapacity() && c.Flags&frame.Chosen == 0:
-		h.recordLeastLoaded(c, 0)
 		return SlotsFull, true
 	default:
 		return 0, false
@@ -191,7 +201,12 @@
 // recordLeastLoaded records this candidate in the packet's header if it is the least
 // loaded one so far. The extra load is added to that of its slots.
 func (h *Controller) recordLeastLoaded(c *frame.Forward, extra int) {
-	load := uint16(min((h.inUse+len(h.queue))*roster.LoadUnit/int(h.endpoint.slots)+extra, 0xffff))
+	h.recordLoad(c, h.inUse+len(h.queue), extra)
+}
+
+// recordLoad records this candidate with a number of requests to be served before the SYN.
+func (h *Controller) recordLoad(c *frame.Forward, ahead, extra int) {
+	load := uint16(min(ahead*roster.LoadUnit/int(h.endpoint.slots)+extra, 0xffff))
 	if c.Best == frame.NoBest || load < c.BestLoad {
 		c.Best = c.Position
 		c.BestLoad = load
--- a/internal/relay/admit/reason.go
+++ b/internal/relay/admit/reason.go
@@ -69,6 +69,8 @@
 	EvacuationsUnknown
 	// Suspect: the endpoint is not known to serve, and one SYN is already pending.
 	Suspect
+	// QueueTooLong: the SYN cannot be served before its caller gives up.
+	QueueTooLong
 
 	reasonCount
 )
@@ -105,6 +107,7 @@
 	EvacuationsKnown:   "evacuations_known",
 	EvacuationsUnknown: "evacuations_unknown",
 	Suspect:            "suspect",
+	QueueTooLong:       "queue_too_long",
 }
 
 // Reasons returns all reasons.
--- a/internal/relay/admit/script_test.go
+++ b/internal/relay/admit/script_test.go
@@ -26,7 +26,7 @@
 // EndpointUnreachable, ask OwnerQueried, settled ListComplete, unsure CandidateSilent,
 // share FlowsPerSlot, aim LatencyTargetMS, urgency Priority, busy AverageLoad, hand on
 // ForwardToCandidate, back ReturnToBalancer, walked ListExhausted, sure Conclusive, tell
-// AnnounceOwner, waits RequestQueued, given up RequestAbandoned, served RequestAnswered.
+// AnnounceOwner, waits RequestQueued, given up RequestAbandoned, shed OpeningShed, served RequestAnswered.
 var _ = Describe("Hold", func() {
 	cases, err := script.Read("testdata/*.txt")
 	if err != nil {
@@ -61,6 +61,9 @@
 	if strings.Contains(c.Name, "[evacuation]") {
 		options = append(options, followsEvacuations())
 	}
+	if strings.Contains(c.Name, "[shedding]") {
+		options = append(options, admit.WithLoadShedding())
+	}
 	h := admit.New(self, service, options...)
 	for i := range c.Lines {
 		l := &c.Lines[i]
@@ -285,6 +288,8 @@
 			text += ", ended"
 		}
 		return text
+	case admit.OpeningShed:
+		return fmt.Sprintf("shed %d", a.Key.CallerPort)
 	case admit.RequestQueued:
 		return fmt.Sprintf("waits %d", a.Key.CallerPort)
 	case admit.RequestAbandoned:
--- a/internal/relay/agent/packets.go
+++ b/internal/relay/agent/packets.go
@@ -166,12 +166,8 @@
 			a.send(x.To, x.Return)
 		case admit.AnnounceOwner, admit.DenyOwnership, admit.AnswerOwners:
 			a.sendAnswer(x)
-		case admit.RequestQueued:
-			a.counts.queued++
-			a.logRequestQueued(x)
-		case admit.RequestAbandoned:
-			a.counts.abandoned++
-			a.logRequestAbandoned(x)
+		case admit.OpeningShed, admit.RequestQueued, admit.RequestAbandoned:
+			a.recordQueue(x)
 		case admit.FlowAccepted:
 			a.recordAccepted(x)
 		case admit.RequestStarted:
@@ -204,6 +200,21 @@
 	}
 }
 
+// recordQueue counts and logs what happens to queued SYNs and requests.
+func (a *Agent) recordQueue(x admit.Action) {
+	switch x := x.(type) {
+	case admit.OpeningShed:
+		a.counts.shed++
+		a.logShed(x)
+	case admit.RequestQueued:
+		a.counts.queued++
+		a.logRequestQueued(x)
+	case admit.RequestAbandoned:
+		a.counts.abandoned++
+		a.logRequestAbandoned(x)
+	}
+}
+
 func (a *Agent) sendToCaller(k link.Key, raw []byte) {
 	if _, err := a.outbound.WriteToUDPAddrPort(raw, a.codec.Caller(k)); err != nil {
 		a.counts.sendErrors++
--- a/internal/relay/agent/state.go
+++ b/internal/relay/agent/state.go
@@ -39,7 +39,9 @@
 	requests  uint64
 	queued    uint64
 	abandoned uint64
-	reports   uint64
+	// shed counts SYNs that left the queue because they could not be served in time.
+	shed    uint64
+	reports uint64
 	// reportsRefused counts reports and notices that were not acknowledged.
 	reportsRefused uint64
 	probes         uint64
@@ -74,6 +76,7 @@
 		{Name: "requests", Value: c.requests},
 		{Name: "requests_held", Value: c.queued},
 		{Name: "requests_given_up", Value: c.abandoned},
+		{Name: "openings_shed", Value: c.shed},
 		{Name: "endpoint_reports", Value: c.reports},
 		{Name: "endpoint_reports_refused", Value: c.reportsRefused},
 		{Name: "endpoint_probes", Value: c.probes},
@@ -100,10 +103,14 @@
 			Value:  c.verdicts[v],
 		})
 	}
+	q := a.controller.Shedding(time.Now())
 	s.Levels = []meter.Level{
 		{Name: "in_use", Value: float64(a.controller.InUse())},
 		{Name: "flows", Value: float64(a.controller.Flows())},
 		{Name: "endpoint_refusals", Value: float64(a.controller.Load(time.Now()).Refusals)},
+		{Name: "queued_openings", Value: float64(q.Openings)},
+		{Name: "queued_requests", Value: float64(q.Requests)},
+		{Name: "slot_time_ms", Value: float64(q.SlotTime.Milliseconds())},
 		{Name: "balancers", Value: float64(len(a.balancers.Hosts()))},
 	}
 	if e := a.controller.Evacuation(time.Now()); e.Followed {
@@ -154,6 +161,8 @@
 	Balancers     []string `json:"balancers"`
 	// Evacuation is absent if the deployment does not evacuate failure domains.
 	Evacuation *EvacuationState `json:"evacuation,omitempty"`
+	// Queue is what waits for a slot.
+	Queue QueueState `json:"queue"`
 }
 
 // EvacuationState is what the agent knows of its failure domain and its endpoint's warmth.
@@ -176,11 +185,23 @@
 	Delivered int `json:"openings_last_second"`
 }
 
+// QueueState is the published state of an agent's queue. The last two fields are 0 unless load
+// shedding is enabled.
+type QueueState struct {
+	Openings int `json:"openings"`
+	Requests int `json:"requests"`
+	// SlotTimeMS is the average time that a request occupies a slot, ArrivalsPerSecond the rate
+	// of the requests that the endpoint serves in time.
+	SlotTimeMS        int64   `json:"slot_time_ms"`
+	ArrivalsPerSecond float64 `json:"arrivals_per_second"`
+}
+
 // State returns the agent's current state.
 func (a *Agent) State() State {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	l := a.controller.Load(time.Now())
+	q := a.controller.Shedding(time.Now())
 	s := State{
 		Service: a.settings.Service,
 		State:   l.State.String(),
@@ -195,6 +216,12 @@
 		Suspect:     l.Refusals >= frame.SuspectRefusals,
 
 		ServiceTimeMS: l.ServiceTimeMS,
+		Queue: QueueState{
+			Openings:          q.Openings,
+			Requests:          q.Requests,
+			SlotTimeMS:        q.SlotTime.Milliseconds(),
+			ArrivalsPerSecond: q.ArrivalRate,
+		},
 	}
 	for _, h := range a.balancers.Hosts() {
 		s.Balancers = append(s.Balancers, h.String())
