router: offer a SYN to further endpoints only while its caller waits

A copy of a SYN that had been queued until its caller gave up was offered again, because the time was counted from the arrival of the copy, and was queued elsewhere for nobody. The time is now counted from the caller's first copy and ends after 0.9 s. Callers of the load tests ignore answers that come after a refusal.

--- a/internal/relay/fault/load_test.go
+++ b/internal/relay/fault/load_test.go
@@ -147,6 +147,7 @@
 func (l *load) receive(p link.Packet) {
 	c := l.calls[p.Key]
 	switch {
+	case c.refused:
 	case p.Flags&flagSyn != 0 && !c.open:
 		c.open = true
 		c.initial = p.Sequence
--- a/internal/relay/router/offer.go
+++ b/internal/relay/router/offer.go
@@ -7,6 +7,7 @@
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/relay/health"
 	"github.com/clementinewing/clementinewing/internal/relay/place"
+	"github.com/clementinewing/clementinewing/internal/world/link"
 	"github.com/clementinewing/clementinewing/internal/world/spec"
 )
 
@@ -15,9 +16,10 @@
 	// one has refused it. Three lists are several times the endpoints of a service that are
 	// lost at once without their agents.
 	maxFurtherLists = 2
-	// offerTimeout is how long after a SYN arrived it is offered to further endpoints. Its
-	// caller waits for 1.4 s, and the endpoint's answer takes part of it.
-	offerTimeout = 1200 * time.Millisecond
+	// offerTimeout is how long after the caller's first copy of a SYN it is offered to further
+	// endpoints. The caller waits for 1.4 s, and part of it is left for a queue and the answer.
+	// Endpoints cannot see how old the SYN is.
+	offerTimeout = 900 * time.Millisecond
 )
 
 // CapacityChanged reports that an endpoint gets fewer new flows than its slots allow, or as many
@@ -91,7 +93,7 @@
 // offerAgain offers a SYN that all its candidates have refused to others. It reports whether
 // there are any.
 func (g *Router) offerAgain(now time.Time, x *flow, o *pendingFlow) bool {
-	if o.lists >= maxFurtherLists || now.After(o.startedAt.Add(offerTimeout)) {
+	if o.lists >= maxFurtherLists || now.After(o.startedAt.Add(offerTimeout-copyAge(o.packet))) {
 		return false
 	}
 	next := *o
@@ -112,6 +114,19 @@
 	return true
 }
 
+// copyAge returns how long before a copy of a SYN the caller sent the first one. The
+// acknowledgment field of a SYN holds the number of its retransmission.
+func copyAge(p link.Packet) time.Duration {
+	switch p.Acknowledgment {
+	case 0:
+		return 0
+	case 1:
+		return 200 * time.Millisecond
+	default:
+		return 600 * time.Millisecond
+	}
+}
+
 // outdates reports whether a returned SYN comes from an earlier candidate list than that of the
 // offer.
 func (o *pendingFlow) outdates(e Returned) bool {
