router: pass packets along few agents while these cannot tell without one

After all processes were killed while endpoints lived on, lookups of a small fleet were made in batches, which every agent answered with cannot_tell; the packets followed one list after the other. While more than a quarter of the agents have lately been unable to tell, packets travel along all of them as before.

--- a/internal/relay/router/ask.go
+++ b/internal/relay/router/ask.go
@@ -36,13 +36,26 @@
 		g.sequentialUntil = now.Add(maxSequentialBurst * sequentialInterval)
 		g.batchedUntil = now.Add(batchedPeriod)
 	}
-	if !now.Before(g.batchedUntil) {
+	if !now.Before(g.batchedUntil) || g.needPackets(now, list) {
 		return false
 	}
 	_, single := g.splitByBatches(list)
 	return len(single) == 0
 }
 
+// needPackets reports whether many agents have lately been unable to tell without a packet: they
+// have restarted beside endpoints that live on. A question to all is then a detour, and the packet
+// travels along all of them at once.
+func (g *Router) needPackets(now time.Time, list []frame.Host) bool {
+	unable := 0
+	for _, h := range list {
+		if now.Before(g.cannotTellUntil[h]) {
+			unable++
+		}
+	}
+	return maxUnableShare*float64(len(list)) < float64(unable)
+}
+
 // queryAll asks all candidates that have not denied the flow whether they own it: in a batch
 // where the agent answers batches, else with an owner query of its own.
 func (g *Router) queryAll(now time.Time, x *flow, list []frame.Host, complete bool) {
@@ -193,6 +206,7 @@
 	case frame.Denied:
 		x.denials.Add(h)
 	default:
+		g.cannotTellUntil[h] = now.Add(cannotTellPeriod)
 		q.undecided = append(q.undecided, h)
 	}
 	if len(q.awaiting) == 0 {
--- a/internal/relay/router/query.go
+++ b/internal/relay/router/query.go
@@ -28,6 +28,10 @@
 	sequentialInterval = 25 * time.Millisecond
 	maxSequentialBurst = 8
 	batchedPeriod      = time.Second
+	// cannotTellPeriod is how long an agent counts as unable to tell without a packet, and
+	// maxUnableShare the share of such agents up to which few agents are asked in batches.
+	cannotTellPeriod = 3 * time.Second
+	maxUnableShare   = 0.25
 	// homeTimeout is how long the home may take to forward the packet to the owner or to
 	// return it. queryTimeout is how long answers to an owner query are awaited: several
 	// round trips between failure domains and the delay in a busy agent.
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -8,6 +8,7 @@
 package router
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -229,6 +230,8 @@
 	// batchedUntil flows are asked about in batches.
 	sequentialUntil time.Time
 	batchedUntil    time.Time
+	// cannotTellUntil holds the agents that could not tell without a packet.
+	cannotTellUntil map[frame.Host]time.Time
 	// loads caches the average load of each service.
 	loads   map[spec.ServiceID]serviceLoad
 	sweepAt time.Time
@@ -260,9 +263,11 @@
 		active:    active,
 		flows:     map[link.Key]*flow{},
 		loads:     map[spec.ServiceID]serviceLoad{},
-		health:    map[spec.ServiceID]*health.Service{},
-		asker:     lookup.NewAsker(self),
-		packets:   lookup.NewPackets(),
+
+		cannotTellUntil: map[frame.Host]time.Time{},
+		health:          map[spec.ServiceID]*health.Service{},
+		asker:           lookup.NewAsker(self),
+		packets:         lookup.NewPackets(),
 	}
 	for _, o := range options {
 		o(g)
@@ -448,6 +453,7 @@
 		return
 	}
 	g.sweepAt = now.Add(sweepInterval)
+	maps.DeleteFunc(g.cannotTellUntil, func(_ frame.Host, until time.Time) bool { return now.After(until) })
 	for k, x := range g.flows {
 		if now.After(x.expiresAt) {
 			delete(g.flows, k)
