--- a/internal/relay/admit/delivery.go
+++ b/internal/relay/admit/delivery.go
@@ -184,21 +184,6 @@
 	return int(h.endpoint.slots) + 1
 }
 
-// recordLeastLoaded records this candidate in the packet's header if it is the least
-// loaded one so far.
-func (h *Controller) recordLeastLoaded(c *frame.Forward) {
-	h.recordLoad(c, h.inUse+len(h.queue))
-}
-
-// recordLoad records this candidate with a number of requests to be served before the SYN.
-func (h *Controller) recordLoad(c *frame.Forward, ahead int) {
-	load := uint16(min(ahead*roster.LoadUnit/int(h.endpoint.slots), 0xffff))
-	if c.Best == frame.NoBest || load < c.BestLoad {
-		c.Best = c.Position
-		c.BestLoad = load
-	}
-}
-
 // forwardToNextCandidate forwards a packet to the next candidate. A SYN that all
 // candidates have rejected goes to the least loaded of them, or else back to its
 // balancer. A packet of a flow that all candidates have denied goes back to its
--- a/internal/relay/admit/overload_test.go
+++ b/internal/relay/admit/overload_test.go
@@ -169,8 +169,22 @@
 	It("fails no request while the capacity suffices", func() {
 		reduced := l
 		reduced.longFlowRequestsPerSecond = 150
-		urgent, longFlows := simulateOverload(reduced, l.slots)
-		GinkgoWriter.Printf("urgent %+v, long flows %+v\n", urgent, longFlows)
-		Expect(urgent.failed + longFlows.failed).To(BeZero())
+		for _, options := range [][]admit.Option{nil, {admit.WithLoadShedding()}} {
+			urgent, longFlows := simulateOverload(reduced, l.slots, options...)
+			GinkgoWriter.Printf("urgent %+v, long flows %+v\n", urgent, longFlows)
+			Expect(urgent.failed + longFlows.failed).To(BeZero())
+		}
+	})
+
+	// Requests on open flows passed the queue, and urgent requests failed beside them.
+	It("serves urgent requests before those on open flows with load shedding", func() {
+		heavier := l
+		heavier.longFlowRequestsPerSecond = 400
+		without, longFlowsWithout := simulateOverload(heavier, l.slots)
+		urgent, longFlows := simulateOverload(heavier, l.slots, admit.WithLoadShedding())
+		GinkgoWriter.Printf("urgent %+v, long flows %+v; without %+v, %+v\n", urgent, longFlows, without, longFlowsWithout)
+		asked := urgent.onTarget + urgent.late + urgent.failed
+		Expect(float64(urgent.onTarget)).To(BeNumerically(">=", minUrgentShare*float64(asked)))
+		Expect(longFlows.onTarget).To(BeNumerically(">", longFlowsWithout.onTarget))
 	})
 })
--- a/internal/relay/admit/queue.go
+++ b/internal/relay/admit/queue.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
+	"github.com/clementinewing/clementinewing/internal/relay/roster"
 	"github.com/clementinewing/clementinewing/internal/relay/shed"
 	"github.com/clementinewing/clementinewing/internal/world/link"
 )
@@ -132,6 +133,21 @@
 	}
 }
 
+// recordLeastLoaded records this candidate in the packet's header if it is the least
+// loaded one so far.
+func (h *Controller) recordLeastLoaded(c *frame.Forward) {
+	h.recordLoad(c, h.inUse+len(h.queue))
+}
+
+// recordLoad records this candidate with a number of requests to be served before the SYN.
+func (h *Controller) recordLoad(c *frame.Forward, ahead int) {
+	load := uint16(min(ahead*roster.LoadUnit/int(h.endpoint.slots), 0xffff))
+	if c.Best == frame.NoBest || load < c.BestLoad {
+		c.Best = c.Position
+		c.BestLoad = load
+	}
+}
+
 // serveQueue gives free slots to queued SYNs and requests.
 func (h *Controller) serveQueue(now time.Time) {
 	if len(h.queue) == 0 {
