even, place, admit, router: even placement of new flows

Balancers read the same reports, up to 750 ms old, and an endpoint took one SYN more than its slots before the others were asked, so that endpoints were overloaded in turn while others had free slots.

Under even_placement an endpoint takes a SYN on the first pass only with a free slot, and the least loaded candidate takes it only when none had one. Balancers place by the average of the reports, plus what they learn from the load in owner announcements, from candidates that passed a SYN on and from their own SYNs, which fades with the service time.

cwlab even runs the relay path's state machines against the present decision, random placement, two choices and a central queue.

--- a/cmd/cwlab/table.go
+++ b/cmd/cwlab/table.go
@@ -30,6 +30,11 @@
 			Run:   load.Run,
 			Plot:  load.Plot,
 		},
+		{
+			Name:  "even",
+			Usage: "the part of balance that runs the relay path: new flows given beyond the slots while others are free",
+			Run:   load.RunRelay,
+		},
 		{
 			Name:  "spread",
 			Usage: "time until every balancer has a change, by fleet size and packet loss",
--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -108,6 +108,7 @@
 			r.Rows = append(r.Rows, s.rows(w, s.runSeeds(w.place, seeds), limit)...)
 		}
 	}
+	r.Rows = append(r.Rows, relayRows(seeds)...)
 	return r, nil
 }
 
--- a/internal/relay/admit/controller.go
+++ b/internal/relay/admit/controller.go
@@ -235,6 +235,8 @@
 	Slots   int
 	Latency time.Duration
 	Queued  bool
+	// BeyondSlots reports that the endpoint had no free slot when it was given the SYN.
+	BeyondSlots bool
 }
 
 // RequestAnswered reports the first byte of the answer to a request.
@@ -307,7 +309,9 @@
 	averageLoad float64
 	lastTickAt  time.Time
 	nextSweepAt time.Time
-	actions     []Action
+	// evenPlacement is set by EvenPlacement.
+	evenPlacement bool
+	actions       []Action
 }
 
 // remoteOwner is the owner of a flow at another endpoint.
--- a/internal/relay/admit/delivery.go
+++ b/internal/relay/admit/delivery.go
@@ -61,7 +61,7 @@
 	if h.forwardToEarlierCopy(p, c) {
 		return
 	}
-	if reason, rejected := h.rejectReason(now, c); rejected {
+	if reason, rejected := h.rejectReason(now, c); rejected && !h.takesAsLast(c, reason) {
 		h.forwardToNextCandidate(p, c, reason)
 		return
 	}
@@ -127,6 +127,7 @@
 	}
 	f.setRoute(c)
 	h.setPhase(f, phaseOpening)
+	f.beyondSlots = h.inUse > int(h.endpoint.slots)
 	h.flows[p.Key] = f
 	h.deliverToEndpoint(now, p, c, deliverOpening)
 }
@@ -152,7 +153,7 @@
 	case h.openFlows >= h.maxOpenFlows(c) && c.Flags&frame.Chosen == 0:
 		h.recordLeastLoaded(c)
 		return FlowsFull, true
-	case h.inUse >= h.openingCapacity() && c.Flags&frame.Chosen == 0:
+	case !h.hasFirstPassCapacity() && c.Flags&frame.Chosen == 0:
 		h.recordLeastLoaded(c)
 		return SlotsFull, true
 	default:
@@ -177,8 +178,8 @@
 // recordLeastLoaded records this candidate in the packet's header if it is the least
 // loaded one so far.
 func (h *Controller) recordLeastLoaded(c *frame.Forward) {
-	load := uint16(min((h.inUse+len(h.queue))*roster.LoadUnit/int(h.endpoint.slots), 0xffff))
-	if c.Best == frame.NoBest || load < c.BestLoad {
+	load := h.load()
+	if h.lessLoaded(load, c) {
 		c.Best = c.Position
 		c.BestLoad = load
 	}
--- a/internal/relay/admit/flow.go
+++ b/internal/relay/admit/flow.go
@@ -34,6 +34,8 @@
 	highest      uint32
 	initialKnown bool
 	queued       bool
+	// beyondSlots is set if the endpoint had no free slot when it was given the SYN.
+	beyondSlots bool
 	// adopted is set if the answer to the flow's SYN did not pass this process.
 	adopted bool
 	// unverified is set when the endpoint has restarted since its last packet of the flow,
@@ -258,6 +260,8 @@
 		Slots:   int(h.endpoint.slots),
 		Latency: now.Sub(f.phaseAt),
 		Queued:  f.queued,
+
+		BeyondSlots: f.beyondSlots,
 	})
 	if f.phase == phaseOpening {
 		h.setPhase(f, phaseAccepted)
@@ -279,6 +283,7 @@
 		InitialSequence: f.initial,
 		Known:           f.initialKnown,
 	}
+	h.setLoad(&o)
 	if f.balancer != 0 {
 		h.emit(AnnounceOwner{
 			To:    f.balancer,
--- a/internal/relay/admit/queue.go
+++ b/internal/relay/admit/queue.go
@@ -102,6 +102,7 @@
 		Key:  w.packet.Key,
 		Host: h.self,
 	}
+	h.setLoad(&o)
 	h.emit(AnnounceOwner{
 		To:    w.forward.Balancer,
 		Owner: o,
--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -105,6 +105,9 @@
 		admit.WithReportInterval(s.ReportInterval),
 		admit.NeedsRegistration(),
 	}
+	if s.Features.EvenPlacement {
+		controllerOptions = append(controllerOptions, admit.EvenPlacement())
+	}
 	if s.FirstStart {
 		controllerOptions = append(controllerOptions, admit.FirstStart())
 	} else if a.endpointRefuses() {
--- a/internal/relay/agent/serve.go
+++ b/internal/relay/agent/serve.go
@@ -103,12 +103,16 @@
 
 func (a *Agent) recordAccepted(x admit.FlowAccepted) {
 	a.counts.accepted++
+	if x.BeyondSlots {
+		a.counts.beyondSlots++
+	}
 	a.recordLatency(LatencyOpening, x.Latency)
 	a.log.Routine.Info().
 		Str("flow", x.Key.String()).
 		Int("in_use", x.InUse).
 		Int("slots", x.Slots).
 		Bool("queued", x.Queued).
+		Bool("beyond_slots", x.BeyondSlots).
 		Int64("after_us", x.Latency.Microseconds()).
 		Msg("opening accepted")
 }
--- a/internal/relay/agent/state.go
+++ b/internal/relay/agent/state.go
@@ -33,12 +33,14 @@
 
 // counts holds the counters of an agent.
 type counts struct {
-	arrived   uint64
-	accepted  uint64
-	requests  uint64
-	queued    uint64
-	abandoned uint64
-	reports   uint64
+	arrived  uint64
+	accepted uint64
+	// beyondSlots counts the SYNs that the endpoint was given without a free slot.
+	beyondSlots uint64
+	requests    uint64
+	queued      uint64
+	abandoned   uint64
+	reports     uint64
 	// reportsRefused counts reports and notices that were not acknowledged.
 	reportsRefused uint64
 	probes         uint64
@@ -61,6 +63,7 @@
 	s.Totals = []meter.Total{
 		{Name: "packets_arrived", Value: c.arrived},
 		{Name: "openings_accepted", Value: c.accepted},
+		{Name: "openings_beyond_slots", Value: c.beyondSlots},
 		{Name: "requests", Value: c.requests},
 		{Name: "requests_held", Value: c.queued},
 		{Name: "requests_given_up", Value: c.abandoned},
@@ -95,6 +98,10 @@
 	Slots   uint16 `json:"slots"`
 	InUse   int    `json:"in_use"`
 	Flows   int    `json:"flows"`
+	// Accepted counts the SYNs that the endpoint has answered, BeyondSlots those of them that
+	// it was given without a free slot.
+	Accepted    uint64 `json:"openings_accepted"`
+	BeyondSlots uint64 `json:"openings_beyond_slots"`
 	// SawAllFlows reports whether the endpoint holds no flow that the agent does not know.
 	SawAllFlows bool `json:"saw_all_flows"`
 	// Registered reports whether the member record lists the agent, as far as it knows.
@@ -115,6 +122,9 @@
 		InUse:   a.controller.InUse(),
 		Flows:   a.controller.Flows(),
 
+		Accepted:    a.counts.accepted,
+		BeyondSlots: a.counts.beyondSlots,
+
 		SawAllFlows: a.controller.SawAllFlows(),
 		Registered:  l.Registered,
 	}
--- a/internal/relay/entry/state.go
+++ b/internal/relay/entry/state.go
@@ -63,6 +63,12 @@
 		{Name: "plans_ignored", Value: c.plansIgnored},
 		{Name: "log_lines_dropped", Value: b.log.Dropped()},
 	}
+	even := b.router.EvenCounts()
+	s.Totals = append(s.Totals,
+		meter.Total{Name: "openings_load_announced", Value: even.Announced},
+		meter.Total{Name: "openings_beyond_slots", Value: even.BeyondSlots},
+		meter.Total{Name: "openings_beyond_slots_while_free", Value: even.WhileFree},
+	)
 	for _, r := range router.Reasons() {
 		s.Totals = append(s.Totals,
 			meter.Total{Name: "sent", Reason: r.String(), Value: c.forwarded[r]},
@@ -100,11 +106,22 @@
 
 // State is the published state of a balancer.
 type State struct {
-	PlanVersion  uint64       `json:"plan_version"`
-	PlanRevision uint64       `json:"plan_revision"`
-	StoreAgeMS   int64        `json:"store_answer_age_ms"`
-	Balancers    []string     `json:"balancers"`
-	Agents       []AgentState `json:"side_processes"`
+	PlanVersion  uint64   `json:"plan_version"`
+	PlanRevision uint64   `json:"plan_revision"`
+	StoreAgeMS   int64    `json:"store_answer_age_ms"`
+	Balancers    []string `json:"balancers"`
+	// Openings are the SYNs placed since the start whose endpoint announced its load.
+	Openings OpeningState `json:"openings"`
+	Agents   []AgentState `json:"side_processes"`
+}
+
+// OpeningState counts placed SYNs by the load of the endpoints that took them.
+type OpeningState struct {
+	Announced   uint64 `json:"load_announced"`
+	BeyondSlots uint64 `json:"beyond_slots"`
+	// WhileFree counts those of BeyondSlots after whose placement another endpoint reported a
+	// free slot.
+	WhileFree uint64 `json:"beyond_slots_while_free"`
 }
 
 // AgentState is the published state of one agent as the balancer knows it.
@@ -117,6 +134,8 @@
 	InUse   uint16  `json:"in_use"`
 	Average float64 `json:"average"`
 	Silent  bool    `json:"silent"`
+	// Estimate is the number of requests that even placement expects the endpoint to have.
+	Estimate float64 `json:"estimate"`
 	// Registered reports whether the member record lists the agent, as far as is known.
 	Registered bool `json:"registered"`
 }
@@ -130,6 +149,7 @@
 		PlanVersion:  b.activePlan.Version(),
 		PlanRevision: b.activePlan.Revision(),
 		StoreAgeMS:   b.storeAge().Milliseconds(),
+		Openings:     OpeningState(b.router.EvenCounts()),
 	}
 	for _, h := range b.members.Balancers() {
 		s.Balancers = append(s.Balancers, h.String())
@@ -146,6 +166,8 @@
 			Average: float64(x.Average) / 64,
 			Silent:  x.Silent(now),
 
+			Estimate: x.Load.Estimate(now),
+
 			Registered: b.members.Registered(h),
 		})
 	}
--- a/internal/relay/place/place.go
+++ b/internal/relay/place/place.go
@@ -83,7 +83,7 @@
 		if s.AcceptsFlows(q.Now) && !slices.Contains(q.Exclude, s.Host) {
 			candidates = append(candidates, scoredAgent{
 				agent: s,
-				cost:  PlacementCost(q.Now, q.Zone, s) + maxRandomCost*hashFraction(q.Hash, s.Host),
+				cost:  q.cost(s),
 			})
 		}
 	}
@@ -99,12 +99,18 @@
 // PlacementCost returns the expected load of an endpoint with one more flow.
 func PlacementCost(now time.Time, zone uint64, s *roster.Agent) (cost float64) {
 	slots := float64(max(s.Slots, 1))
-	cost = currentLoadWeight*(float64(s.InUse)+float64(s.SentSinceReport)+1)/slots + averageLoadWeight*float64(s.Average)/64/slots
+	load := currentLoadWeight*(float64(s.InUse)+float64(s.SentSinceReport)+1)/slots + averageLoadWeight*float64(s.Average)/64/slots
+	return totalCost(now, zone, s, load, remoteZoneCost)
+}
+
+// totalCost adds to the load of an endpoint what else makes a flow slower there.
+func totalCost(now time.Time, zone uint64, s *roster.Agent, load, remoteCost float64) (cost float64) {
+	cost = load
 	if now.Before(s.ColdUntil) {
 		cost *= 1 + coldCost
 	}
 	if s.Zone != zone {
-		cost += remoteZoneCost
+		cost += remoteCost
 	}
 	if !s.Proven {
 		cost += unprovenCost
--- a/internal/relay/roster/agent.go
+++ b/internal/relay/roster/agent.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/clementinewing/clementinewing/internal/relay/even"
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/world/node"
 )
@@ -14,6 +15,8 @@
 	ColdUntil time.Time
 	// SentSinceReport counts the SYNs sent to the agent since its last report.
 	SentSinceReport int
+	// Load estimates the endpoint's load under even placement.
+	Load even.Load
 	// Unanswered counts the SYNs that the agent has left unanswered since it was last heard.
 	Unanswered int
 	// unregisteredSince is when an agent with EndpointEnded first reported that it has to be
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/clementinewing/clementinewing/internal/relay/even"
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
 	"github.com/clementinewing/clementinewing/internal/world/node"
 	"github.com/clementinewing/clementinewing/internal/world/spec"
@@ -129,6 +130,12 @@
 	s.HeardAt = now
 	s.ColdUntil = now.Add(time.Duration(l.ColdMS) * time.Millisecond)
 	s.SentSinceReport = 0
+	s.Load.ApplyReport(now, even.Report{
+		Use:         float64(l.InUse),
+		Average:     float64(l.Average) / LoadUnit,
+		Slots:       float64(l.Slots),
+		ServiceTime: time.Duration(l.ServiceTimeMS) * time.Millisecond,
+	})
 	s.Unanswered = 0
 	if moved {
 		r.addToService(s)
--- a/internal/relay/router/open.go
+++ b/internal/relay/router/open.go
@@ -137,6 +137,7 @@
 func (g *Router) sendOpening(x *flow, o *pendingFlow, why Reason) {
 	if s := g.members.Agent(o.candidates[0]); s != nil {
 		s.SentSinceReport++
+		s.Load.ApplySent(o.sentAt)
 	}
 	g.addAction(Send{
 		To:     o.candidates[0],
--- a/internal/relay/router/owner.go
+++ b/internal/relay/router/owner.go
@@ -59,6 +59,7 @@
 		}
 	}
 	x.expiresAt = now.Add(ownerTTL)
+	g.applyAnnouncedLoad(now, x.pending, o)
 	if x.pending != nil {
 		g.addAction(OwnerFound{
 			Key:     o.Key,
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -193,7 +193,8 @@
 	sweepAt time.Time
 	actions []Action
 
-	features place.Features
+	features   place.Features
+	evenCounts EvenCounts
 }
 
 // Option sets one property of a Router.
