--- a/internal/relay/admit/delivery.go
+++ b/internal/relay/admit/delivery.go
@@ -66,10 +66,11 @@
 	if h.forwardToEarlierCopy(p, c) {
 		return
 	}
-	if reason, rejected := h.rejectReason(now, c); rejected {
-		if reason == SlotsFull {
-			reason = h.offerQueue(now, p, c)
-		}
+	reason, rejected := h.rejectReason(now, c)
+	if reason == SlotsFull {
+		reason = h.offerQueue(now, p, c)
+	}
+	if rejected && !h.takesAsLast(c, reason) {
 		h.forwardToNextCandidate(p, c, reason)
 		return
 	}
@@ -141,6 +142,7 @@
 	f.setRoute(c)
 	h.recordDelivery(now)
 	h.setPhase(f, phaseOpening)
+	f.beyondSlots = h.inUse > int(h.endpoint.slots)
 	h.flows[p.Key] = f
 	h.endpoint.health.Opened(now)
 	h.deliverToEndpoint(now, p, c, deliverOpening)
@@ -177,7 +179,7 @@
 	case h.ramping(now) && c.Flags&frame.Chosen == 0:
 		h.recordLeastLoaded(c, 0)
 		return SlowStart, true
-	case h.inUse >= h.openingCapacity() && c.Flags&frame.Chosen == 0:
+	case !h.hasFirstPassCapacity() && c.Flags&frame.Chosen == 0:
 		return SlotsFull, true
 	default:
 		return 0, false
--- a/internal/relay/admit/queue.go
+++ b/internal/relay/admit/queue.go
@@ -121,6 +121,7 @@
 		Key:  w.packet.Key,
 		Host: h.self,
 	}
+	h.setLoad(&o)
 	h.emit(AnnounceOwner{
 		To:    w.forward.Balancer,
 		Owner: o,
@@ -142,7 +143,7 @@
 // recordLoad records this candidate with a number of requests to be served before the SYN.
 func (h *Controller) recordLoad(c *frame.Forward, ahead, extra int) {
 	load := uint16(min(ahead*roster.LoadUnit/int(h.endpoint.slots)+extra, 0xffff))
-	if c.Best == frame.NoBest || load < c.BestLoad {
+	if h.lessLoaded(load, c) {
 		c.Best = c.Position
 		c.BestLoad = load
 	}
--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -114,6 +114,9 @@
 	if s.Features.OutlierDetection {
 		controllerOptions = append(controllerOptions, admit.ReportServiceTime())
 	}
+	if s.Features.EvenPlacement {
+		controllerOptions = append(controllerOptions, admit.EvenPlacement())
+	}
 	if s.FirstStart {
 		controllerOptions = append(controllerOptions, admit.FirstStart())
 	} else if a.endpointRefuses() {
--- a/internal/relay/entry/state.go
+++ b/internal/relay/entry/state.go
@@ -75,6 +75,12 @@
 		{Name: "evacuation_changes", Value: b.evacuations.changes},
 		{Name: "evacuation_answers", Value: b.evacuations.answers},
 	}
+	even := b.router.EvenCounts()
+	s.Totals = append(s.Totals,
+		meter.Total{Name: "openings_load_announced", Value: even.Announced},
+		meter.Total{Name: "openings_beyond_slots", Value: even.BeyondSlots},
+		meter.Total{Name: "openings_beyond_slots_while_free", Value: even.WhileFree},
+	)
 	for _, r := range router.Reasons() {
 		s.Totals = append(s.Totals,
 			meter.Total{Name: "sent", Reason: r.String(), Value: c.forwarded[r]},
@@ -151,9 +157,11 @@
 	// Lookups are the lookups of flow owners in progress.
 	Lookups router.Lookups `json:"lookups"`
 	// SpillShare is the largest share of new flows of a service that leave the failure domain.
-	SpillShare float64      `json:"spill_share"`
-	Balancers  []string     `json:"balancers"`
-	Agents     []AgentState `json:"side_processes"`
+	SpillShare float64  `json:"spill_share"`
+	Balancers  []string `json:"balancers"`
+	// Openings are the SYNs placed since the start whose endpoint announced its load.
+	Openings OpeningState `json:"openings"`
+	Agents   []AgentState `json:"side_processes"`
 	// Evacuations is absent if the deployment does not evacuate failure domains.
 	Evacuations *EvacuationState `json:"evacuations,omitempty"`
 }
@@ -171,6 +179,15 @@
 	Carried []string `json:"kept_from_earlier_era,omitempty"`
 }
 
+// OpeningState counts placed SYNs by the load of the endpoints that took them.
+type OpeningState struct {
+	Announced   uint64 `json:"load_announced"`
+	BeyondSlots uint64 `json:"beyond_slots"`
+	// WhileFree counts those of BeyondSlots after whose placement another endpoint reported a
+	// free slot.
+	WhileFree uint64 `json:"beyond_slots_while_free"`
+}
+
 // AgentState is the published state of one agent as the balancer knows it.
 type AgentState struct {
 	Address string  `json:"address"`
@@ -191,6 +208,8 @@
 	// fewer new flows because it is slow, fails or has just come back.
 	ServiceTimeMS uint16  `json:"service_time_ms"`
 	Capacity      float64 `json:"capacity"`
+	// Estimate is the number of requests that even placement expects the endpoint to have.
+	Estimate float64 `json:"estimate"`
 	// Registered reports whether the member record lists the agent, as far as is known.
 	Registered bool `json:"registered"`
 }
@@ -206,6 +225,7 @@
 		StoreAgeMS:   b.storeAge().Milliseconds(),
 		Lookups:      b.router.Lookups(),
 		SpillShare:   b.router.SpillShare(),
+		Openings:     OpeningState(b.router.EvenCounts()),
 	}
 	for _, h := range b.members.Balancers() {
 		s.Balancers = append(s.Balancers, h.String())
@@ -227,6 +247,7 @@
 
 			ServiceTimeMS: x.ServiceTimeMS,
 			Capacity:      b.router.Capacity(x.Service, h),
+			Estimate:      x.Load.Estimate(now),
 
 			Registered: b.members.Registered(h),
 			Evacuated:  b.evacuations.source.Evacuated(evac.Zone(x.Zone)),
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -241,6 +241,7 @@
 	health      map[spec.ServiceID]*health.Service
 	features    place.Features
 	evacuations *evac.Source
+	evenCounts  EvenCounts
 }
 
 // Option sets one property of a Router.
