--- a/internal/relay/router/ask.go
+++ b/internal/relay/router/ask.go
@@ -24,6 +24,8 @@
 
 // looksUpInParallel reports whether the owner of a flow is looked up with a query to all
 // candidates: there are too many for one list, or lookups are so frequent that batches cost less.
+// They do not where many agents cannot tell without the packet, as after restarts of agents alone:
+// most flows have an owner then, and the packet does not pass the agents behind it.
 func (g *Router) looksUpInParallel(now time.Time, x *flow, list []frame.Host) bool {
 	if len(list) > maxSequential || x != nil && x.denials != nil {
 		return true
@@ -36,26 +38,13 @@
 		g.sequentialUntil = now.Add(maxSequentialBurst * sequentialInterval)
 		g.batchedUntil = now.Add(batchedPeriod)
 	}
-	if !now.Before(g.batchedUntil) || g.needPackets(now, list) {
+	if !now.Before(g.batchedUntil) || g.asker.MayPass(now) && g.asker.Undecided(now, list) > len(list)/maxUndecidedPart {
 		return false
 	}
 	_, single := g.splitByBatches(list)
 	return len(single) == 0
 }
 
-// needPackets reports whether many agents have lately been unable to tell without a packet: they
-// have restarted beside endpoints that live on. A question to all is then a detour, and the packet
-// travels along all of them at once.
-func (g *Router) needPackets(now time.Time, list []frame.Host) bool {
-	unable := 0
-	for _, h := range list {
-		if now.Before(g.cannotTellUntil[h]) {
-			unable++
-		}
-	}
-	return maxUnableShare*float64(len(list)) < float64(unable)
-}
-
 // queryAll asks all candidates that have not denied the flow whether they own it: in a batch
 // where the agent answers batches, else with an owner query of its own.
 func (g *Router) queryAll(now time.Time, x *flow, list []frame.Host, complete bool) {
@@ -173,7 +162,7 @@
 // handleBatchAnswer handles an agent's answers to a batch.
 func (g *Router) handleBatchAnswer(now time.Time, m frame.OwnerAnswers) {
 	g.members.MarkAlive(m.Host)
-	for _, a := range g.asker.Receive(m) {
+	for _, a := range g.asker.Receive(now, m) {
 		if x, ok := g.flows[a.Flow.Key]; ok && x.query != nil && x.denials == a.Flow.Denials {
 			g.handleVerdict(now, x, a.Host, a.Verdict)
 		}
@@ -206,7 +195,6 @@
 	case frame.Denied:
 		x.denials.Add(h)
 	default:
-		g.cannotTellUntil[h] = now.Add(cannotTellPeriod)
 		q.undecided = append(q.undecided, h)
 	}
 	if len(q.awaiting) == 0 {
