--- a/internal/bench/load/relaycall.go
+++ b/internal/bench/load/relaycall.go
@@ -142,10 +142,23 @@
 	})
 }
 
+// Layout of a caller's packet: its number, the number of its retransmission and its flags.
+const (
+	retransmissionAt = 4
+	flagsAt          = 5
+	rawPacketBytes   = 40
+)
+
 func rawSYN(number uint32, retransmission byte) []byte {
-	raw := make([]byte, 40)
+	raw := rawPacket(number, synFlag)
+	raw[retransmissionAt] = retransmission
+	return raw
+}
+
+func rawPacket(number uint32, flags byte) []byte {
+	raw := make([]byte, rawPacketBytes)
 	binary.BigEndian.PutUint32(raw, number)
-	raw[4] = retransmission
+	raw[flagsAt] = flags
 	return raw
 }
 
@@ -172,16 +185,18 @@
 	}
 }
 
-// deliver passes a packet to the endpoint. Requests have no raw bytes here.
+// deliver passes a packet to the endpoint, which answers a SYN and acknowledges any other
+// packet.
 func (a *relayAgent) deliver(raw []byte) {
 	s := a.sim
-	if len(raw) == 0 {
-		return
-	}
 	c := s.calls[binary.BigEndian.Uint32(raw)]
 	if c == nil {
 		return
 	}
+	if raw[flagsAt]&synFlag == 0 {
+		s.clock.After(endpointDelay, func() { a.answer(c, ackFlag, 0, 501) })
+		return
+	}
 	if !c.accepted && c.agent == nil {
 		c.agent = a
 		s.meter.recordAdmission(s, c, a)
@@ -222,6 +237,7 @@
 			Service:    spec.NewServiceID(relayService),
 			Balancer:   c.balancer.host,
 			Candidates: []frame.Host{c.agent.host},
+			Packet:     rawPacket(c.number, ackFlag|flags),
 		},
 	})
 }
--- a/internal/bench/load/relaysim.go
+++ b/internal/bench/load/relaysim.go
@@ -247,6 +247,9 @@
 			Owner: m,
 		})
 	case frame.Return:
+		if m.Packet[flagsAt]&synFlag == 0 {
+			return
+		}
 		b.step(router.Returned{
 			Packet: b.sim.syn(binary.BigEndian.Uint32(m.Packet), 0),
 			Return: m,
@@ -262,7 +265,7 @@
 			return
 		}
 		a.step(admit.PacketForEndpoint{
-			Packet:  a.sim.syn(call.number, m.Packet[4]),
+			Packet:  a.sim.syn(call.number, m.Packet[retransmissionAt]),
 			Forward: m,
 		})
 	case frame.Owner:
