--- a/internal/relay/admit/even_test.go
+++ b/internal/relay/admit/even_test.go
@@ -30,7 +30,7 @@
 			},
 		})
 		for i := range openings {
-			h.Step(now, opening(uint16(i), frame.Chosen, self))
+			h.Step(now, opening(uint32(i), frame.Chosen, self))
 		}
 		return h
 	}
@@ -109,7 +109,7 @@
 })
 
 // opening returns a SYN for the first of the candidates.
-func opening(flow uint16, flags uint8, candidates ...frame.Host) admit.PacketForEndpoint {
+func opening(flow uint32, flags uint8, candidates ...frame.Host) admit.PacketForEndpoint {
 	return admit.PacketForEndpoint{
 		Packet: newPacket(flow, false),
 		Forward: &frame.Forward{
