router: refuse overloaded SYNs without asking further lists of full endpoints

With load shedding, a SYN that no candidate could serve in time was offered to two further lists, which made the refusal 16 hops later while the whole service was overloaded. It now goes only to endpoints that have told of a free slot. The refusal has a reason of its own, queue_too_long.

--- a/internal/relay/admit/delivery.go
+++ b/internal/relay/admit/delivery.go
@@ -240,6 +240,7 @@
 			ListExhausted: listExhausted,
 			LookupStage:   c.LookupStage,
 			Evacuated:     reason == Evacuated,
+			QueueTooLong:  reason == QueueTooLong,
 			Packet:        c.Packet,
 		},
 		Key:    p.Key,
--- a/internal/relay/frame/codec.go
+++ b/internal/relay/frame/codec.go
@@ -27,7 +27,7 @@
 	case *Forward:
 		return appendForward(out, m)
 	case Return:
-		out = append(out, magic, version, kindReturn, bitIf(m.Conclusive, bit0)|bitIf(m.ListExhausted, bit1)|bitIf(m.FlowEnded, bit2)|bitIf(m.Evacuated, bit3), m.Reason, m.LookupStage)
+		out = append(out, magic, version, kindReturn, bitIf(m.Conclusive, bit0)|bitIf(m.ListExhausted, bit1)|bitIf(m.FlowEnded, bit2)|bitIf(m.Evacuated, bit3)|bitIf(m.QueueTooLong, bit4), m.Reason, m.LookupStage)
 		out = byteOrder.AppendUint32(out, uint32(m.Host))
 		return append(out, m.Packet...)
 	case Owner:
@@ -264,6 +264,7 @@
 		ListExhausted: bits&bit1 != 0,
 		FlowEnded:     bits&bit2 != 0,
 		Evacuated:     bits&bit3 != 0,
+		QueueTooLong:  bits&bit4 != 0,
 		Reason:        r.byte(),
 		LookupStage:   r.byte(),
 		Host:          r.host(),
--- a/internal/relay/frame/frame.go
+++ b/internal/relay/frame/frame.go
@@ -147,9 +147,12 @@
 	// holds it, so that no endpoint does.
 	FlowEnded bool
 	// Evacuated reports that the endpoint refused a SYN because its failure domain is evacuated.
-	Evacuated   bool
-	LookupStage uint8
-	Packet      []byte
+	Evacuated bool
+	// QueueTooLong reports that the endpoint refused a SYN because it cannot serve it before its
+	// caller gives up.
+	QueueTooLong bool
+	LookupStage  uint8
+	Packet       []byte
 }
 
 // Owner announces the owner of a flow.
--- a/internal/relay/frame/frame_test.go
+++ b/internal/relay/frame/frame_test.go
@@ -70,6 +70,7 @@
 			ListExhausted: true,
 			FlowEnded:     true,
 			Evacuated:     true,
+			QueueTooLong:  true,
 			LookupStage:   2,
 			Packet:        []byte("packet"),
 		},
--- a/internal/relay/router/lookup.go
+++ b/internal/relay/router/lookup.go
@@ -311,7 +311,10 @@
 		}
 		reason = Evacuated
 	}
-	if x.offer != nil && g.offerAgain(now, x, x.offer) {
+	if e.QueueTooLong {
+		reason = QueueTooLong
+	}
+	if x.offer != nil && g.offerAgain(now, x, x.offer, e.QueueTooLong) {
 		return
 	}
 	delete(g.flows, e.Packet.Key)
--- a/internal/relay/router/offer.go
+++ b/internal/relay/router/offer.go
@@ -96,14 +96,19 @@
 }
 
 // offerAgain offers a SYN that all its candidates have refused to others. It reports whether
-// there are any.
-func (g *Router) offerAgain(now time.Time, x *flow, o *pendingFlow) bool {
+// there are any. If the candidates could not serve it in time, only endpoints that have told of a
+// free slot count: with the whole service overloaded, a refusal must not take eight more hops.
+func (g *Router) offerAgain(now time.Time, x *flow, o *pendingFlow, onlyFree bool) bool {
 	if o.lists >= maxFurtherLists || now.After(o.startedAt.Add(offerTimeout-copyAge(o.packet))) {
 		return false
 	}
 	next := *o
 	next.refused = append(slices.Clone(o.refused), o.candidates...)
-	next.candidates, next.flags = g.flowCandidates(now, o.key.Hash(), x.service, next.refused)
+	exclude := next.refused
+	if onlyFree {
+		exclude = g.withFullEndpoints(x.service, exclude)
+	}
+	next.candidates, next.flags = g.flowCandidates(now, o.key.Hash(), x.service, exclude)
 	if len(next.candidates) == 0 {
 		return false
 	}
@@ -132,6 +137,18 @@
 	}
 }
 
+// withFullEndpoints adds the endpoints of a service that had no free slot at their last report, or
+// whose free slots this balancer has filled since.
+func (g *Router) withFullEndpoints(service spec.ServiceID, list []frame.Host) []frame.Host {
+	list = slices.Clone(list)
+	for _, s := range g.members.ServiceAgents(service) {
+		if int(s.InUse)+s.SentSinceReport >= int(s.Slots) {
+			list = append(list, s.Host)
+		}
+	}
+	return list
+}
+
 // outdates reports whether a returned SYN comes from an earlier candidate list than that of the
 // offer.
 func (o *pendingFlow) outdates(e Returned) bool {
--- a/internal/relay/router/reason.go
+++ b/internal/relay/router/reason.go
@@ -38,6 +38,9 @@
 	// Evacuated: the endpoints of the service that take new flows are all in evacuated failure
 	// domains.
 	Evacuated
+	// QueueTooLong: no candidate can serve the SYN before its caller gives up, and no other
+	// endpoint of the service has told of a free slot.
+	QueueTooLong
 	// Replaced: agents have refused a SYN because their failure domain is evacuated, and it went
 	// to endpoints of others.
 	Replaced
@@ -62,6 +65,7 @@
 	AllDenied:      "all_denied",
 	OwnerRestarted: "owner_restarted",
 	Evacuated:      "evacuated",
+	QueueTooLong:   "queue_too_long",
 	Replaced:       "placed_again",
 }
 
--- a/internal/relay/router/script_test.go
+++ b/internal/relay/router/script_test.go
@@ -174,6 +174,7 @@
 				ListExhausted: l.Event != "denied",
 				FlowEnded:     l.Has("ended"),
 				Evacuated:     l.Has("evacuated"),
+				QueueTooLong:  l.Has("long"),
 				LookupStage:   stage,
 				Packet:        []byte("packet"),
 			},
