soak: evacuate failure domains, with every feature enabled

The soak plays evacuations of a failure domain over its other faults and checks that its endpoints get no new flow from 5 s on, unless the store had a fault. All processes run with zone evacuation, load shedding, outlier detection and even placement.

--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -67,6 +67,7 @@
 	endpoints []*fake.Endpoint
 	// replacing lets only one event at a time replace an endpoint.
 	replacing    []sync.Mutex
+	evacuating   sync.Mutex
 	incarnations int
 	ready        []netip.AddrPort
 	closing      chan struct{}
@@ -139,11 +140,11 @@
 	if err := os.MkdirAll(first, 0o700); err != nil {
 		return err
 	}
-	firstPath, err := f.Net.WriteSettings(first, a, zone, service, seeds, true)
+	firstPath, err := f.Net.WriteSettings(first, a, zone, service, seeds, true, features)
 	if err != nil {
 		return err
 	}
-	path, err := f.Net.WriteSettings(f.folder, a, zone, service, seeds, false)
+	path, err := f.Net.WriteSettings(f.folder, a, zone, service, seeds, false, features)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/fleet/inject.go
+++ b/internal/soak/fleet/inject.go
@@ -53,6 +53,8 @@
 		f.injectLinkFault(e, w)
 	case plan.StoreRestored:
 		f.restoreStore(e, w)
+	case plan.EvacuateZone:
+		f.evacuate(e)
 	default:
 		f.injectStoreFault(e, w)
 	}
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -77,6 +77,13 @@
 const (
 	RollBalancers = restoreKinds + iota
 	RollAgent
+	rollKinds
+)
+
+// EvacuateZone evacuates the failure domain of the target agent for the event's duration. Planned
+// work, drawn separately from the kinds above for the same reason.
+const (
+	EvacuateZone = rollKinds + iota
 
 	kindCount
 )
@@ -86,7 +93,7 @@
 	"pause_side", "kill_all", "crash_endpoint", "leave_endpoint", "store_busy",
 	"store_silent", "store_reset", "store_lost", "store_slow", "add_route",
 	"drop_route", "hangup", "store_late", "link_silent", "link_reset", "link_one_way",
-	"link_slow", "store_restored", "roll_balancers", "roll_side",
+	"link_slow", "store_restored", "roll_balancers", "roll_side", "evacuate_zone",
 }
 
 // String returns the kind as reports print it.
@@ -128,6 +135,10 @@
 	maxRollGap      = 8 * time.Second
 	rollOverlap     = 4 * time.Second
 	maxRolledAgents = 3
+	// maxEvacuationGap bounds the time between two evacuations. Each takes longer than the time
+	// after which it must hold, by minEvacuation and up to maxDuration more.
+	maxEvacuationGap = 12 * time.Second
+	minEvacuation    = 5500 * time.Millisecond
 )
 
 // Draw returns the plan of a seed for a time span.
@@ -152,12 +163,25 @@
 	events = append(events, drawLinkFaults(seed, span)...)
 	events = append(events, drawRestores(seed, span)...)
 	events = append(events, drawRolls(seed, span, agents)...)
+	events = append(events, drawEvacuations(seed, span, agents)...)
 	return sorted(events)
 }
 
 // DrawPlanned returns the plan of a seed with planned work only.
 func DrawPlanned(seed uint64, span time.Duration, agents int) (events []Event) {
-	return sorted(drawRolls(seed, span, agents))
+	return sorted(append(drawRolls(seed, span, agents), drawEvacuations(seed, span, agents)...))
+}
+
+// drawEvacuations draws evacuations of failure domains.
+func drawEvacuations(seed uint64, span time.Duration, agents int) []Event {
+	r := rand.New(rand.NewPCG(seed, 4))
+	return drawSeries(r, span-minEvacuation, maxEvacuationGap, func() Event {
+		return Event{
+			Kind:     EvacuateZone,
+			Target:   r.IntN(agents),
+			Duration: minEvacuation + time.Duration(r.Int64N(int64(maxDuration))),
+		}
+	})
 }
 
 func sorted(events []Event) []Event {
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -42,7 +42,7 @@
 				last = e.Offset
 			}
 		}
-		Expect(seen).To(HaveLen(int(plan.RollAgent) + 1))
+		Expect(seen).To(HaveLen(int(plan.EvacuateZone) + 1))
 		Expect(overlaps).To(BeNumerically(">", 0))
 	})
 
@@ -57,6 +57,7 @@
 			plan.RollBalancers: true,
 			plan.RollAgent:     true,
 			plan.LeaveEndpoint: true,
+			plan.EvacuateZone:  true,
 		}))
 	})
 })
--- a/internal/soak/verify/verify.go
+++ b/internal/soak/verify/verify.go
@@ -17,6 +17,9 @@
 	// planTimeout is how long a plan may take to come into force everywhere while
 	// the store answers.
 	planTimeout = 3 * time.Second
+	// evacuationTimeout is how long after the store's answer an evacuated failure domain may still
+	// get new flows while the store answers.
+	evacuationTimeout = 5 * time.Second
 	// minServedShare is the share of requests that must be served after the last
 	// fault.
 	minServedShare = 0.9
@@ -94,6 +97,20 @@
 	}
 }
 
+// EvacuatedAt reports whether a failure domain that was evacuated at the time from may get no new
+// flow at the time at. A fault of the store in between delays the evacuation.
+func (r *Record) EvacuatedAt(from, at time.Time) bool {
+	if at.Before(from.Add(evacuationTimeout)) {
+		return false
+	}
+	for _, w := range r.Store {
+		if w.From.Before(at) && w.Until.Add(faultAftermath).After(from) {
+			return false
+		}
+	}
+	return true
+}
+
 // CheckRunCount checks how often a request ran that was sent on one flow.
 func CheckRunCount(id string, runs int) error {
 	if runs > 1 {
