--- a/internal/soak/fleet/inject.go
+++ b/internal/soak/fleet/inject.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"net/netip"
 	"syscall"
 	"time"
 
@@ -26,9 +27,7 @@
 		f.Signal(f.Net.Balancer(e.Target), syscall.SIGTERM)
 	case plan.PauseBalancer:
 		f.RecordBalancerFault(w)
-		f.Signal(f.Net.Balancer(e.Target), syscall.SIGSTOP)
-		time.Sleep(e.Duration)
-		f.Signal(f.Net.Balancer(e.Target), syscall.SIGCONT)
+		f.pause(f.Net.Balancer(e.Target), e.Duration)
 	case plan.Hangup:
 		f.Signal(f.Net.Balancer(e.Target), syscall.SIGHUP)
 	case plan.KillAgent:
@@ -38,9 +37,7 @@
 		f.Signal(f.Net.Agent(e.Target), syscall.SIGTERM)
 	case plan.PauseAgent:
 		f.RecordAgentFault(e.Target, w)
-		f.Signal(f.Net.Agent(e.Target), syscall.SIGSTOP)
-		time.Sleep(e.Duration)
-		f.Signal(f.Net.Agent(e.Target), syscall.SIGCONT)
+		f.pause(f.Net.Agent(e.Target), e.Duration)
 	case plan.KillAll:
 		f.killAll(w)
 	case plan.RollBalancers:
@@ -61,6 +58,13 @@
 	return nil
 }
 
+// pause suspends a process for a while.
+func (f *Fleet) pause(a netip.Addr, duration time.Duration) {
+	f.Signal(a, syscall.SIGSTOP)
+	time.Sleep(duration)
+	f.Signal(a, syscall.SIGCONT)
+}
+
 // replaceEndpoint ends an endpoint and starts its next incarnation.
 func (f *Fleet) replaceEndpoint(e plan.Event) error {
 	f.replacing[e.Target].Lock()
