place, router, entry, cwnode: explain a placement without sending

Operators could see the state of a balancer but not where a new flow goes and why. cwnode explain asks a running balancer over HTTP on its metrics address. Explanation and placement share one function that ranks, and the health of the service is computed on a copy, so that explaining changes no later decision.

A candidate of another failure domain that was moved into the list stayed in its old place as well and the one it replaced was lost. With endpoints of a reduced share in the list, it could be asked twice. It is now moved, and the replaced one follows the list.

--- a/cmd/cwnode/balancer.go
+++ b/cmd/cwnode/balancer.go
@@ -45,6 +45,7 @@
 	if err != nil {
 		return err
 	}
+	m.Handle(entry.ExplainPath, b.ExplainHandler())
 	stop, cancel := stopSignal(ctx)
 	defer cancel()
 	go onHangup(stop, l, func() error {
--- a/cmd/cwnode/table.go
+++ b/cmd/cwnode/table.go
@@ -8,5 +8,6 @@
 		balancerCommand(),
 		agentCommand(),
 		checkCommand(),
+		explainCommand(),
 	}
 }
--- a/internal/edge/meter/meter.go
+++ b/internal/edge/meter/meter.go
@@ -52,6 +52,7 @@
 	scope      tally.Scope
 	closer     io.Closer
 	handler    http.Handler
+	further    map[string]http.Handler
 	mutex      sync.Mutex
 	lastTotals map[counterID]uint64
 }
@@ -80,6 +81,7 @@
 		scope:      scope,
 		closer:     closer,
 		handler:    reporter.HTTPHandler(),
+		further:    map[string]http.Handler{},
 		lastTotals: map[counterID]uint64{},
 	}
 }
@@ -113,12 +115,20 @@
 	return errors.Join(err, m.closer.Close())
 }
 
-// Handler returns the handler for /metrics, /state and /ready.
+// Handle adds a handler for a path. It has to be called before Handler and Serve.
+func (m *Meter) Handle(path string, h http.Handler) {
+	m.further[path] = h
+}
+
+// Handler returns the handler for /metrics, /state, /ready and the paths of Handle.
 func (m *Meter) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", m.handler)
 	mux.HandleFunc("/state", m.serveState)
 	mux.HandleFunc("/ready", m.serveReady)
+	for path, h := range m.further {
+		mux.Handle(path, h)
+	}
 	return mux
 }
 
--- a/internal/relay/health/service.go
+++ b/internal/relay/health/service.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"slices"
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/relay/frame"
@@ -69,6 +70,13 @@
 	return changes
 }
 
+// Clone returns a copy of the service. Updating the copy leaves the service as it is.
+func (s *Service) Clone() *Service {
+	c := *s
+	c.unproven = slices.Clone(s.unproven)
+	return &c
+}
+
 func (s *Service) updateUnproven(accepting []*roster.Agent) {
 	s.unproven = s.unproven[:0]
 	serving := 0
--- a/internal/relay/place/even.go
+++ b/internal/relay/place/even.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"math"
 	"time"
 
 	"github.com/clementinewing/clementinewing/internal/relay/roster"
@@ -20,22 +19,10 @@
 	evenMaxRandomCost = 1.0
 )
 
-// EvenCost returns the cost of one more flow by the estimate of the endpoint's load. The
-// estimate is the average plus what this balancer has learned within the last requests: the
+// evenTerms returns the terms of the cost of one more flow by the estimate of the endpoint's load.
+// The estimate is the average plus what this balancer has learned within the last requests: the
 // average places long flows, the rest short ones.
-func EvenCost(now time.Time, zone uint64, s *roster.Agent) (cost float64) {
+func evenTerms(now time.Time, zone uint64, s *roster.Agent) Terms {
 	load := (s.Load.Estimate(now) + 1) / float64(max(s.Slots, 1))
-	return totalCost(now, zone, s, load, evenRemoteZoneCost)
-}
-
-// cost returns the cost of the flow at an endpoint, including the random part. The load of a slow
-// endpoint is higher already, as its requests are in use for longer. Its capacity therefore counts
-// by the root only.
-func (q *Request) cost(s *roster.Agent) float64 {
-	random := hashFraction(q.Hash, s.Host)
-	capacity := math.Sqrt(q.Health.Capacity(s.Host))
-	if q.Even {
-		return EvenCost(q.Now, q.Zone, s)/capacity + evenMaxRandomCost*random
-	}
-	return PlacementCost(q.Now, q.Zone, s)/capacity + maxRandomCost*random
+	return endpointTerms(now, zone, s, load, evenRemoteZoneCost)
 }
--- a/internal/relay/place/place.go
+++ b/internal/relay/place/place.go
@@ -54,10 +54,19 @@
 type scoredAgent struct {
 	agent *roster.Agent
 	cost  float64
-	// class is 1 for a suspect, which is asked last, and -1 for an endpoint to be asked first.
-	class int
+	class class
 }
 
+// class is a group of candidates; lower ones are asked first.
+type class int
+
+const (
+	// classProbe: the endpoint is asked first, to find out whether it serves.
+	classProbe class = iota - 1
+	classNormal
+	classSuspect
+)
+
 // Request asks for the candidates of one new flow.
 type Request struct {
 	Now time.Time
@@ -92,58 +101,79 @@
 // FlowCandidates returns at most maxFlowCandidates endpoints that accept new flows,
 // lowest cost first. Suspects come last, unless no endpoint is known to serve.
 func FlowCandidates(q *Request) (list []frame.Host) {
+	candidates := q.rank()
+	candidates = candidates[:min(len(candidates), maxFlowCandidates)]
+	list = make([]frame.Host, len(candidates))
+	for i := range candidates {
+		list[i] = candidates[i].agent.Host
+	}
+	return list
+}
+
+// rank returns all endpoints that accept the flow in the order in which they are asked.
+func (q *Request) rank() []scoredAgent {
 	candidates := make([]scoredAgent, 0, len(q.Agents))
 	serving := slices.ContainsFunc(q.Agents, func(s *roster.Agent) bool {
 		return s.AcceptsFlows(q.Now) && !health.Unproven(s) && !slices.Contains(q.Exclude, s.Host)
 	})
 	for _, s := range q.Agents {
-		if s.AcceptsFlows(q.Now) && !q.Evacuations.Evacuated(evac.Zone(s.Zone)) && !slices.Contains(q.Exclude, s.Host) {
-			c := scoredAgent{
-				agent: s,
-				cost:  q.zoneCost(s.Zone) + q.cost(s),
-			}
-			switch {
-			case s.Host == q.Probe:
-				c.class = -1
-			case serving && s.Suspect():
-				c.class = 1
-			}
-			candidates = append(candidates, c)
+		if q.exclusion(s) == "" {
+			candidates = append(candidates, q.score(s, serving))
 		}
 	}
 	slices.SortFunc(candidates, func(a, b scoredAgent) int {
 		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.cost, b.cost))
 	})
 	q.mixZones(candidates)
-	candidates = q.reducedLast(candidates)
-	candidates = candidates[:min(len(candidates), maxFlowCandidates)]
-	list = make([]frame.Host, len(candidates))
-	for i := range candidates {
-		list[i] = candidates[i].agent.Host
+	return q.reducedLast(candidates)
+}
+
+// score returns the class and the cost of an endpoint. serving is set if an endpoint of the service
+// is known to serve.
+func (q *Request) score(s *roster.Agent, serving bool) (c scoredAgent) {
+	t := q.terms(s)
+	c = scoredAgent{
+		agent: s,
+		cost:  t.Total(),
 	}
-	return list
+	switch {
+	case s.Host == q.Probe:
+		c.class = classProbe
+	case serving && s.Suspect():
+		c.class = classSuspect
+	}
+	return c
 }
 
 // PlacementCost returns the expected load of an endpoint with one more flow.
 func PlacementCost(now time.Time, zone uint64, s *roster.Agent) (cost float64) {
+	t := placementTerms(now, zone, s)
+	return t.endpoint()
+}
+
+func placementTerms(now time.Time, zone uint64, s *roster.Agent) Terms {
 	slots := float64(max(s.Slots, 1))
 	load := currentLoadWeight*(float64(s.InUse)+float64(s.SentSinceReport)+1)/slots + averageLoadWeight*float64(s.Average)/64/slots
-	return totalCost(now, zone, s, load, remoteZoneCost)
+	return endpointTerms(now, zone, s, load, remoteZoneCost)
 }
 
-// totalCost adds to the load of an endpoint what else makes a flow slower there.
-func totalCost(now time.Time, zone uint64, s *roster.Agent, load, remoteCost float64) (cost float64) {
-	cost = load
+// endpointTerms adds to the load of an endpoint what else makes a flow slower there.
+func endpointTerms(now time.Time, zone uint64, s *roster.Agent, load, remoteCost float64) (t Terms) {
+	t = Terms{
+		Load:       load,
+		Cold:       1,
+		Unanswered: unansweredCost * float64(s.Unanswered),
+	}
 	if now.Before(s.ColdUntil) {
-		cost *= 1 + coldCost
+		t.Cold = 1 + coldCost
 	}
 	if s.Zone != zone {
-		cost += remoteCost
+		t.Zone = remoteCost
 	}
 	if !s.Proven {
-		cost += unprovenCost
+		t.Unproven = unprovenCost
 	}
-	return cost + unansweredCost*float64(s.Unanswered)
+	return t
 }
 
 // hashFraction returns a pseudo-random number from 0 to 1 for a flow and a host.
--- a/internal/relay/place/zones.go
+++ b/internal/relay/place/zones.go
@@ -32,17 +32,20 @@
 		}
 	}
 	at := maxFlowCandidates - 1
-	for _, c := range candidates[maxFlowCandidates:] {
+	for i, c := range candidates[maxFlowCandidates:] {
 		if others >= otherZoneCandidates {
 			return
 		}
-		if c.agent.Zone == q.Zone || c.class != 0 {
+		if c.agent.Zone == q.Zone || c.class != classNormal {
 			continue
 		}
 		for candidates[at].agent.Zone != q.Zone {
 			at--
 		}
-		candidates[at] = c
+		// The candidate that leaves the list is the next one after it.
+		rest := candidates[maxFlowCandidates : maxFlowCandidates+i+1]
+		copy(rest[1:], rest[:i])
+		rest[0], candidates[at] = candidates[at], c
 		at--
 		others++
 	}
--- a/internal/relay/router/offer.go
+++ b/internal/relay/router/offer.go
@@ -61,11 +61,7 @@
 	agents := g.members.ServiceAgents(service)
 	s, ok := g.health[service]
 	if !ok {
-		s = &health.Service{
-			Outliers: g.features.Outliers,
-			Zone:     g.zone,
-			Excludes: func(zone uint64) bool { return g.evacuations.Evacuated(evac.Zone(zone)) },
-		}
+		s = g.newHealth()
 		g.health[service] = s
 	}
 	for _, c := range s.Update(now, agents, func() int { return len(g.members.Balancers()) }) {
@@ -74,25 +70,38 @@
 			Change:  c,
 		})
 	}
-	q := place.Request{
+	q := g.request(now, hash, service, s)
+	q.Exclude = refused
+	if len(refused) == 0 {
+		q.Probe = s.Probe(now, hash)
+	}
+	if s.FewServing() {
+		flags = frame.FewServing
+	}
+	return place.FlowCandidates(&q), flags
+}
+
+func (g *Router) newHealth() *health.Service {
+	return &health.Service{
+		Outliers: g.features.Outliers,
+		Zone:     g.zone,
+		Excludes: func(zone uint64) bool { return g.evacuations.Evacuated(evac.Zone(zone)) },
+	}
+}
+
+// request returns the request for the candidates of a new flow.
+func (g *Router) request(now time.Time, hash uint64, service spec.ServiceID, s *health.Service) place.Request {
+	return place.Request{
 		Now:      now,
 		Hash:     hash,
 		Zone:     s.PreferredZone(hash),
-		Agents:   agents,
-		Exclude:  refused,
+		Agents:   g.members.ServiceAgents(service),
 		Health:   s,
 		Features: g.features,
 
 		Evacuations: g.evacuations,
 		ColdRate:    g.coldRate(service),
 	}
-	if len(refused) == 0 {
-		q.Probe = s.Probe(now, hash)
-	}
-	if s.FewServing() {
-		flags = frame.FewServing
-	}
-	return place.FlowCandidates(&q), flags
 }
 
 // offerAgain offers a SYN that all its candidates have refused to others. It reports whether
--- a/internal/relay/router/open.go
+++ b/internal/relay/router/open.go
@@ -107,28 +107,37 @@
 	g.sendOpening(x, x.pending, Placed)
 }
 
-// refuseUnplaced refuses a SYN that no endpoint takes. It is dropped instead if an endpoint may
-// take its retransmission: the balancer has just started and has heard no agent yet, or an agent
-// waits to be registered or to be told which failure domains are evacuated.
+// refuseUnplaced refuses a SYN that no endpoint takes, or drops it.
 func (g *Router) refuseUnplaced(now time.Time, service spec.ServiceID, p Packet) {
-	agents := g.members.ServiceAgents(service)
-	if g.awaitsAgent(now, agents) || len(agents) == 0 && now.Before(g.startedAt.Add(startupTimeout)) {
+	reason := g.unplacedReason(now, service)
+	if reason == Starting {
 		g.addAction(Drop{
 			Packet: p.Packet,
-			Reason: Starting,
+			Reason: reason,
 		})
 		return
 	}
-	reason := NoEndpoint
-	if g.onlyEvacuated(now, service) {
-		reason = Evacuated
-	}
 	g.addAction(Refuse{
 		Packet: p.Packet,
 		Reason: reason,
 	})
 }
 
+// unplacedReason returns why no endpoint takes a SYN. It is Starting if an endpoint may take its
+// retransmission: the balancer has just started and has heard no agent yet, or an agent waits to
+// be registered or to be told which failure domains are evacuated.
+func (g *Router) unplacedReason(now time.Time, service spec.ServiceID) Reason {
+	agents := g.members.ServiceAgents(service)
+	switch {
+	case g.awaitsAgent(now, agents) || len(agents) == 0 && now.Before(g.startedAt.Add(startupTimeout)):
+		return Starting
+	case g.onlyEvacuated(now, service):
+		return Evacuated
+	default:
+		return NoEndpoint
+	}
+}
+
 func (g *Router) sendOpening(x *flow, o *pendingFlow, why Reason) {
 	if s := g.members.Agent(o.candidates[0]); s != nil {
 		s.SentSinceReport++
