--- a/cmd/cwnode/explain.go
+++ b/cmd/cwnode/explain.go
@@ -169,7 +169,7 @@
 		if t := x.Terms; t != nil {
 			fmt.Fprintf(w, "%.3f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\t%.3f\t", t.Load, t.Cold, t.Zone, t.Preferred, t.Unproven, t.Unanswered, t.Capacity, t.Random)
 		} else {
-			fmt.Fprint(w, strings.Repeat("-\t", 8))
+			fmt.Fprintf(w, "%s", strings.Repeat("-\t", 8))
 		}
 		fmt.Fprintf(w, "%.2f\t%d/%d\t%.2f\t%d ms\n", x.Share, x.InUse, x.Slots, x.Average, x.AgeMS)
 	}
@@ -180,14 +180,11 @@
 	if len(e.LeftOutCounts) == 0 {
 		return nil
 	}
-	fmt.Fprint(out, "\nleft out:")
-	for i, x := range slices.Sorted(maps.Keys(e.LeftOutCounts)) {
-		if i > 0 {
-			fmt.Fprint(out, ",")
-		}
-		fmt.Fprintf(out, " %s %d", x, e.LeftOutCounts[x])
+	var counts []string
+	for _, x := range slices.Sorted(maps.Keys(e.LeftOutCounts)) {
+		counts = append(counts, fmt.Sprintf("%s %d", x, e.LeftOutCounts[x]))
 	}
-	fmt.Fprintln(out)
+	fmt.Fprintf(out, "\nleft out: %s\n", strings.Join(counts, ", "))
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "ENDPOINT\tZONE\tWHY\tSTATE\tREFUSALS\tCOST\tIN USE\tAGE")
 	for i := range e.LeftOut {
--- a/internal/relay/entry/explain.go
+++ b/internal/relay/entry/explain.go
@@ -16,10 +16,12 @@
 )
 
 const (
-	// ExplainPath is the path of the explanations on the metrics address.
+	// ExplainPath is the path of the explanations on the metrics address, with the parameters
+	// ExplainCaller and ExplainTarget.
 	ExplainPath = "/explain"
-	// Names of the parameters of ExplainPath.
+	// ExplainCaller is the address and port of the caller.
 	ExplainCaller = "caller"
+	// ExplainTarget is the address and port to which the flow goes.
 	ExplainTarget = "target"
 
 	// maxAddressBytes is more than an IPv4-mapped address with a port takes.
