--- a/internal/soak/fleet/evacuate.go
+++ b/internal/soak/fleet/evacuate.go
@@ -22,6 +22,15 @@
 	key := "op/evacuate/" + zone
 	f.Store.Put(key, []byte("{}"))
 	from := time.Now()
+	f.mutex.Lock()
+	f.record.Evacuations = append(f.record.Evacuations, verify.Evacuation{
+		Zone: zone,
+		FaultWindow: verify.FaultWindow{
+			From:  from,
+			Until: from.Add(e.Duration),
+		},
+	})
+	f.mutex.Unlock()
 	time.Sleep(e.Duration)
 	until := time.Now()
 	for i := range f.sizes.Agents {
--- a/internal/soak/verify/verify.go
+++ b/internal/soak/verify/verify.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/clementinewing/clementinewing/platform/fake"
@@ -46,6 +47,12 @@
 	return !at.Before(w.From) && at.Before(w.Until.Add(faultAftermath))
 }
 
+// Evacuation is the time during which operators had evacuated a failure domain.
+type Evacuation struct {
+	Zone string
+	FaultWindow
+}
+
 // Record holds the injected faults.
 type Record struct {
 	// Agents holds the unplanned faults of each agent or its endpoint.
@@ -53,6 +60,10 @@
 	// Balancers holds the unplanned faults of all balancers.
 	Balancers []FaultWindow
 	Store     []FaultWindow
+	// Evacuations are those of all failure domains, Restores the times at which the store came
+	// back from an older copy.
+	Evacuations []Evacuation
+	Restores    []time.Time
 	// EndedAt is when an endpoint ended or began to drain.
 	EndedAt map[string]time.Time
 }
@@ -88,6 +99,8 @@
 		return nil
 	}
 	switch {
+	case present && errors.Is(err, fake.ErrRefused) && r.allEvacuated(at):
+		return nil
 	case present && errors.Is(err, fake.ErrRefused):
 		return fmt.Errorf("route added %s ago refuses flows", at.Sub(changed))
 	case !present && err == nil:
@@ -111,6 +124,21 @@
 	return true
 }
 
+// allEvacuated reports whether every failure domain may be evacuated. An evacuation stays in force
+// if the store has come back from a copy without its withdrawal, until operators repeat that.
+func (r *Record) allEvacuated(at time.Time) bool {
+	zones := map[string]bool{}
+	for _, e := range r.Evacuations {
+		restored := slices.ContainsFunc(r.Restores, func(t time.Time) bool {
+			return t.After(e.From) && t.Before(at)
+		})
+		if !at.Before(e.From) && (restored || e.covers(at)) {
+			zones[e.Zone] = true
+		}
+	}
+	return len(zones) == fake.Zones
+}
+
 // CheckRunCount checks how often a request ran that was sent on one flow.
 func CheckRunCount(id string, runs int) error {
 	if runs > 1 {
--- a/internal/soak/verify/verify_test.go
+++ b/internal/soak/verify/verify_test.go
@@ -54,6 +54,24 @@
 		Expect(r.CheckRoute(false, at(1), at(5), nil)).To(Succeed())
 	})
 
+	It("allow a refusal only while every failure domain may be evacuated", func() {
+		r := &verify.Record{}
+		for _, zone := range []string{"nord", "sued"} {
+			Expect(r.CheckRoute(true, at(1), at(12), fake.ErrRefused)).NotTo(Succeed())
+			r.Evacuations = append(r.Evacuations, verify.Evacuation{
+				Zone: zone,
+				FaultWindow: verify.FaultWindow{
+					From:  at(3),
+					Until: at(9),
+				},
+			})
+		}
+		Expect(r.CheckRoute(true, at(1), at(12), fake.ErrRefused)).To(Succeed())
+		Expect(r.CheckRoute(true, at(1), at(14), fake.ErrRefused)).NotTo(Succeed())
+		r.Restores = append(r.Restores, at(8))
+		Expect(r.CheckRoute(true, at(1), at(14), fake.ErrRefused)).To(Succeed())
+	})
+
 	It("report a request that ran twice and a system that does not recover", func() {
 		Expect(verify.CheckRunCount("x", 1)).To(Succeed())
 		Expect(verify.CheckRunCount("x", 2)).NotTo(Succeed())
