--- a/internal/soak/fleet/evacuate.go
+++ b/internal/soak/fleet/evacuate.go
@@ -19,8 +19,7 @@
 	f.evacuating.Lock()
 	defer f.evacuating.Unlock()
 	zone := fake.Zone(e.Target)
-	key := "op/evacuate/" + zone
-	f.Store.Put(key, []byte("{}"))
+	f.Store.Evacuate(zone)
 	from := time.Now()
 	f.mutex.Lock()
 	f.record.Evacuations = append(f.record.Evacuations, verify.Evacuation{
@@ -52,5 +51,5 @@
 			return fmt.Errorf("endpoint %s got a new flow %s after its failure domain was evacuated", endpoint.ID, openings[at].Sub(from))
 		})
 	}
-	f.Store.Delete(key)
+	f.Store.Withdraw(zone)
 }
