--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -31,8 +31,10 @@
 	readinessInterval = 500 * time.Millisecond
 	// maxMisses is after how many failed checks a balancer is out of rotation.
 	maxMisses = 2
-	// maxNetworks bounds the search for free addresses.
-	maxNetworks = 100
+	// firstNetwork is beyond the networks of the tests; maxNetworks bounds the search for free
+	// addresses.
+	firstNetwork = 200
+	maxNetworks  = 50
 )
 
 // process is one process and the machine that it runs on.
@@ -111,7 +113,7 @@
 // listenStore starts the store in a network whose addresses are free.
 func (d *deployment) listenStore() (err error) {
 	for n := range maxNetworks {
-		d.net = fake.Network{Number: byte(60 + n)}
+		d.net = fake.Network{Number: byte(firstNetwork + n)}
 		var listener net.Listener
 		at := netip.AddrPortFrom(d.net.Store().Addr(), storePort)
 		if listener, err = net.Listen("tcp4", at.String()); err != nil {
