--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -30,6 +30,7 @@
 
 var cases = map[string]func(r run) error{
 	"endpoints-back-at-once":       endpointsBackAtOnce,
+	"endpoints-crash":              endpointsCrash,
 	"endpoints-restarted-in-place": endpointsRestartedInPlace,
 }
 
@@ -66,8 +67,6 @@
 	})
 	if err == nil {
 		err = os.RemoveAll(folder)
-	} else {
-		r.note("logs of the processes: a temporary folder")
 	}
 	switch failed := r.close(); {
 	case errors.Is(err, errBroken):
--- a/review/standin-3/registration.go
+++ b/review/standin-3/registration.go
@@ -10,8 +10,8 @@
 	"github.com/clementinewing/clementinewing/platform/fake"
 )
 
-// The cases of endpoints that are back at once: after a crash soon after the whole system was
-// started again, and after planned restarts in place.
+// The cases of endpoints that are back at once: after a crash when the whole system has been started
+// again, after a crash alone, and after planned restarts in place.
 const (
 	balancerCount = 2
 	callerCount   = 12
@@ -23,8 +23,8 @@
 	calmTime   = 5 * time.Second
 	// crashDelay is the time from the return of the system's processes to the crash of the
 	// endpoints, awayTime how long an endpoint is away.
-	crashDelay = 600 * time.Millisecond
-	awayTime   = 250 * time.Millisecond
+	crashDelay = 3 * time.Second
+	awayTime   = 2 * time.Second
 	// drainTime is how long an endpoint goes on serving after its drain report was acknowledged: a
 	// little longer than the bound drainMs. restartPause is the time from its end to its next
 	// start, nextPause the time until the next endpoint is restarted.
@@ -165,6 +165,26 @@
 	return judgeRecovery(r, t, calmFrom, calmUntil, backAt)
 }
 
+// endpointsCrash plays the crash without the final fault.
+func endpointsCrash(r run) (err error) {
+	d, e, t, err := startAll(r)
+	if err != nil {
+		return err
+	}
+	defer d.close()
+	defer e.stop()
+	calmFrom := time.Now()
+	time.Sleep(calmTime)
+	calmUntil := time.Now()
+	if r.trouble {
+		e.crash()
+	}
+	backAt := time.Now()
+	time.Sleep(time.Until(backAt.Add(recoveryTime + watchTime)))
+	t.stop()
+	return judgeRecovery(r, t, calmFrom, calmUntil, backAt)
+}
+
 // endpointsRestartedInPlace plays the planned restarts.
 func endpointsRestartedInPlace(r run) (err error) {
 	d, e, t, err := startAll(r)
