--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -77,11 +78,21 @@
 			ReadHeaderTimeout: time.Minute,
 		}
 		go func() { _ = d.server.Serve(listener) }()
+		go d.awaitSignal()
 		return d, nil
 	}
 	return nil, errNoNetwork
 }
 
+// awaitSignal ends everything when this program is told to end.
+func (d *deployment) awaitSignal() {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
+	<-told
+	d.close()
+	os.Exit(exitFailed)
+}
+
 // startBalancers starts balancers and the router's readiness checks.
 func (d *deployment) startBalancers(count int) (err error) {
 	for i := range count {
