--- a/review/standin-3/registration.go
+++ b/review/standin-3/registration.go
@@ -14,7 +14,7 @@
 // again, after a crash alone, and after planned restarts in place.
 const (
 	balancerCount = 2
-	callerCount   = 12
+	callerCount   = 48
 	slots         = 4
 	requestWork   = 10 * time.Millisecond
 	// settleTime is how long the deployment runs before anything is judged, calmTime how long
